--- /dev/null
+++ b/benchsuite/src/main.rs
@@ -0,0 +1,3 @@
+//! Benches of figrill.
+
+fn main() {}
--- /dev/null
+++ b/crates/coordination/src/agent.rs
@@ -0,0 +1,644 @@
+//! The agent beside an upstream: the only authority over its worker.
+//!
+//! What it has granted is the truth, and it grants a gang's share of its
+//! worker as a whole or not at all. Coordinators come and go; the agent
+//! follows the highest term that it has seen and refuses lower ones.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use figrill_state::{
+    error::Kind,
+    event::{Code, Note},
+    worker::{Capacity, Worker},
+};
+
+use crate::message::{
+    AgentReport, AgentRequest, Ending, GrantPhase, GrantReport, Header, Hold,
+    Member, MemberReport, MemberRequest, Run,
+};
+
+pub mod grant;
+pub mod lead;
+pub mod tombs;
+
+use grant::{Grant, PartEvent};
+use lead::Lead;
+use tombs::Tombs;
+
+/// How long an announced upstream may be silent before it gets no new work.
+pub const UPSTREAM_SILENCE: Duration = Duration::from_secs(3);
+
+/// How long a member's promise to start lasts.
+pub const PROMISE: Duration = Duration::from_secs(3);
+
+/// How long a member's parts run without word from the lead.
+pub const RUN_LEASE: Duration = Duration::from_secs(3);
+
+/// Time between two messages that await an acknowledgement.
+pub const RESEND: Duration = Duration::from_millis(250);
+
+/// Names one part of one attempt.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Task {
+    /// The attempt.
+    pub run: Run,
+    /// The part.
+    pub rank: u32,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time passed.
+    Tick,
+    /// A message of a coordinator; `from` is its incarnation.
+    Coordinator {
+        /// The incarnation of the sender.
+        from: u64,
+        /// The message.
+        request: AgentRequest,
+    },
+    /// The stream to a coordinator ended.
+    CoordinatorGone {
+        /// The incarnation of the coordinator.
+        from: u64,
+    },
+    /// A message of a gang's lead.
+    Lead {
+        /// The attempt.
+        run: Run,
+        /// The message.
+        request: MemberRequest,
+    },
+    /// A message of a member to the lead on this worker.
+    Member {
+        /// The attempt.
+        run: Run,
+        /// The sender's worker.
+        worker: String,
+        /// The sender's incarnation.
+        incarnation: u64,
+        /// The message.
+        report: MemberReport,
+    },
+    /// The upstream announced itself, or did so again.
+    Announced(Capacity),
+    /// The upstream said that it leaves: it finishes what it has.
+    Left,
+    /// A part's upstream call brought something.
+    Part {
+        /// The part.
+        task: Task,
+        /// What.
+        event: PartEvent,
+    },
+    /// The process drains.
+    Drain,
+}
+
+/// What to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Send to the coordinator with this incarnation.
+    Report {
+        /// The coordinator's incarnation.
+        to: u64,
+        /// The message.
+        report: AgentReport,
+    },
+    /// Send to a member of a gang that this worker leads.
+    ToMember {
+        /// Whom.
+        member: Member,
+        /// The attempt.
+        run: Run,
+        /// The message.
+        request: MemberRequest,
+    },
+    /// Send to the lead of a gang.
+    ToLead {
+        /// Whom.
+        lead: Member,
+        /// The attempt.
+        run: Run,
+        /// The message.
+        report: MemberReport,
+    },
+    /// Start a part on the upstream.
+    Start {
+        /// The part.
+        task: Task,
+        /// Its input.
+        input: Vec<u8>,
+        /// Where an earlier attempt was stopped.
+        checkpoint: Option<Vec<u8>>,
+    },
+    /// Stop a part, with a checkpoint if it comes within `window`.
+    Stop {
+        /// The part.
+        task: Task,
+        /// How long a checkpoint may take; zero for none.
+        window: Duration,
+    },
+    /// Something for the time line.
+    Note(Note),
+}
+
+struct Following {
+    term: u64,
+    incarnation: u64,
+    connected: bool,
+}
+
+struct Upstream {
+    capacity: Capacity,
+    seen: Duration,
+}
+
+/// The decisions of one agent.
+pub struct Agent {
+    worker: Worker,
+    reserve: u32,
+    upstream: Option<Upstream>,
+    following: Following,
+    grants: BTreeMap<Run, Grant>,
+    leads: BTreeMap<Run, Lead>,
+    endings: BTreeMap<Run, (Header, Ending)>,
+    tombs: Tombs,
+    acknowledged: Tombs,
+    draining: bool,
+}
+
+/// Collects what a step leads to; messages from this worker to itself are
+/// handled in the same step.
+#[derive(Default)]
+pub(crate) struct Cx {
+    pub(crate) actions: Vec<Action>,
+    pub(crate) to_self: VecDeque<ToSelf>,
+}
+
+pub(crate) enum ToSelf {
+    Lead(Run, MemberRequest),
+    Member(Run, MemberReport),
+}
+
+impl Cx {
+    pub(crate) fn note(&mut self, code: Code, run: Run, detail: &str) {
+        let detail = format!("attempt={} {detail}", run.attempt);
+        self.actions
+            .push(Action::Note(Note::of_job(code, run.job, detail)));
+    }
+}
+
+impl Agent {
+    /// An agent for `worker`, whose capacity is taken from its upstream's
+    /// announcements less `reserve` accelerators.
+    #[must_use]
+    pub fn new(worker: Worker, reserve: u32) -> Self {
+        Self {
+            worker: Worker {
+                capacity: Capacity::default(),
+                ..worker
+            },
+            reserve,
+            upstream: None,
+            following: Following {
+                term: 0,
+                incarnation: 0,
+                connected: false,
+            },
+            grants: BTreeMap::new(),
+            leads: BTreeMap::new(),
+            endings: BTreeMap::new(),
+            tombs: Tombs::default(),
+            acknowledged: Tombs::default(),
+            draining: false,
+        }
+    }
+
+    /// The worker as it is announced now.
+    #[must_use]
+    pub const fn worker(&self) -> &Worker {
+        &self.worker
+    }
+
+    /// The highest term seen.
+    #[must_use]
+    pub const fn term(&self) -> u64 {
+        self.following.term
+    }
+
+    /// Whether nothing runs, is held or waits to be acknowledged.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.grants.is_empty()
+            && self.leads.is_empty()
+            && self.endings.is_empty()
+    }
+
+    /// What the grants take together.
+    #[must_use]
+    pub fn used(&self) -> Capacity {
+        let needs = self.grants.values().map(Grant::need);
+        needs.fold(Capacity::default(), |sum, need| sum.plus(need))
+    }
+
+    /// Takes an input and says what to do.
+    pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
+        let mut cx = Cx::default();
+        // Whatever lapsed while the process was paused lapses before the
+        // input is looked at, so a paused member wakes up fenced.
+        self.expire(now, &mut cx);
+        self.take(now, input, &mut cx);
+        self.settle(now, &mut cx);
+        cx.actions
+    }
+
+    fn take(&mut self, now: Duration, input: Input, cx: &mut Cx) {
+        match input {
+            Input::Tick => {}
+            Input::Coordinator { from, request } => {
+                self.coordinator(now, from, request, cx);
+            }
+            Input::CoordinatorGone { from } => {
+                if self.following.incarnation == from {
+                    self.following.connected = false;
+                }
+            }
+            Input::Lead { run, request } => {
+                self.member(now, run, &request, cx);
+            }
+            Input::Member {
+                run,
+                worker,
+                incarnation,
+                report,
+            } => {
+                if let Some(lead) = self.leads.get_mut(&run) {
+                    lead.report(now, &worker, incarnation, report, cx);
+                }
+            }
+            Input::Announced(capacity) => {
+                self.announced(now, capacity, cx);
+            }
+            Input::Left => self.upstream_gone("left", cx),
+            Input::Part { task, event } => self.part(now, task, event, cx),
+            Input::Drain => {
+                self.draining = true;
+                self.refresh(cx);
+            }
+        }
+    }
+
+    /// Lets messages to this worker itself and finished leads and grants
+    /// take effect until nothing is left to do.
+    fn settle(&mut self, now: Duration, cx: &mut Cx) {
+        loop {
+            while let Some(message) = cx.to_self.pop_front() {
+                match message {
+                    ToSelf::Lead(run, request) => {
+                        self.member(now, run, &request, cx);
+                    }
+                    ToSelf::Member(run, report) => {
+                        let worker = self.worker.name.clone();
+                        let incarnation = self.worker.incarnation;
+                        if let Some(lead) = self.leads.get_mut(&run) {
+                            lead.report(now, &worker, incarnation, report, cx);
+                        }
+                    }
+                }
+            }
+            self.collect(cx);
+            if cx.to_self.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn collect(&mut self, cx: &mut Cx) {
+        let runs: Vec<Run> = self
+            .leads
+            .iter()
+            .filter(|(_, lead)| lead.ending().is_some())
+            .map(|(run, _)| *run)
+            .collect();
+        for run in runs {
+            if let Some(lead) = self.leads.remove(&run) {
+                let (header, ending) = lead.finish();
+                self.end(run, header, ending, cx);
+            }
+        }
+        let gone: Vec<Run> = self
+            .grants
+            .iter()
+            .filter(|(_, grant)| grant.is_over())
+            .map(|(run, _)| *run)
+            .collect();
+        for run in gone {
+            self.grants.remove(&run);
+            self.tombs.bury(run);
+            self.report(AgentReport::Freed { run }, cx);
+        }
+    }
+
+    fn end(&mut self, run: Run, header: Header, ending: Ending, cx: &mut Cx) {
+        let report = AgentReport::Ended {
+            run,
+            ending: ending.clone(),
+        };
+        self.endings.insert(run, (header, ending));
+        self.report(report, cx);
+    }
+
+    fn report(&self, report: AgentReport, cx: &mut Cx) {
+        if self.following.connected {
+            let to = self.following.incarnation;
+            cx.actions.push(Action::Report { to, report });
+        }
+    }
+
+    fn expire(&mut self, now: Duration, cx: &mut Cx) {
+        let silent = self
+            .upstream
+            .as_ref()
+            .is_some_and(|u| now >= u.seen + UPSTREAM_SILENCE);
+        if silent {
+            self.upstream_gone("silent", cx);
+        }
+        for grant in self.grants.values_mut() {
+            grant.expire(now, cx);
+        }
+        for lead in self.leads.values_mut() {
+            lead.tick(now, cx);
+        }
+    }
+
+    fn announced(&mut self, now: Duration, capacity: Capacity, cx: &mut Cx) {
+        if self.upstream.is_none() {
+            let detail = format!(
+                "worker={} accelerators={} slots={}",
+                self.worker.name, capacity.accelerators, capacity.slots
+            );
+            cx.actions
+                .push(Action::Note(Note::new(Code::UpstreamUp, detail)));
+        }
+        self.upstream = Some(Upstream {
+            capacity,
+            seen: now,
+        });
+        self.refresh(cx);
+    }
+
+    fn upstream_gone(&mut self, how: &str, cx: &mut Cx) {
+        if self.upstream.take().is_some() {
+            let detail = format!("worker={} how={how}", self.worker.name);
+            cx.actions
+                .push(Action::Note(Note::new(Code::UpstreamGone, detail)));
+        }
+        self.refresh(cx);
+    }
+
+    /// Tells the coordinator if what the worker offers has changed.
+    fn refresh(&mut self, cx: &mut Cx) {
+        let offered = match &self.upstream {
+            Some(upstream) if !self.draining => Capacity {
+                accelerators: upstream
+                    .capacity
+                    .accelerators
+                    .saturating_sub(self.reserve),
+                ..upstream.capacity
+            },
+            _ => Capacity::default(),
+        };
+        if offered == self.worker.capacity {
+            return;
+        }
+        self.worker.capacity = offered;
+        let worker = self.worker.clone();
+        self.report(AgentReport::Changed { worker }, cx);
+    }
+
+    fn coordinator(
+        &mut self,
+        now: Duration,
+        from: u64,
+        request: AgentRequest,
+        cx: &mut Cx,
+    ) {
+        if let AgentRequest::Ack { run } = request {
+            if self.endings.remove(&run).is_some() {
+                self.acknowledged.bury(run);
+            }
+            return;
+        }
+        let term = term_of(&request);
+        let seen = &mut self.following;
+        let rival = seen.term == term && seen.incarnation != from;
+        if term < seen.term || rival {
+            let report = AgentReport::Fenced { term: seen.term };
+            cx.actions.push(Action::Report { to: from, report });
+            let detail = format!("term={term} seen={}", seen.term);
+            cx.actions
+                .push(Action::Note(Note::new(Code::TermFenced, detail)));
+            return;
+        }
+        let newer = term > seen.term;
+        *seen = Following {
+            term,
+            incarnation: from,
+            connected: true,
+        };
+        if newer {
+            self.drop_holds(term, cx);
+        }
+        match request {
+            AgentRequest::Coordinate { .. } => {
+                let report = self.full_report(now);
+                self.report(report, cx);
+            }
+            AgentRequest::Hold(hold) => self.hold(now, hold, cx),
+            AgentRequest::Release { run, .. } => self.release(run, cx),
+            AgentRequest::Stage { run, .. } => {
+                if let Some(lead) = self.leads.get_mut(&run) {
+                    lead.stage(now, cx);
+                }
+            }
+            AgentRequest::Cancel {
+                run, why, window, ..
+            } => {
+                self.cancel(now, run, why, window, cx);
+            }
+            AgentRequest::Ack { .. } => {}
+        }
+    }
+
+    /// A new coordinator does not know the holds of an older one, and no
+    /// gang of those can start any more unless its lead has gone on to
+    /// stage it: what is only held is given up at once.
+    fn drop_holds(&mut self, term: u64, cx: &mut Cx) {
+        let stale = |run: &Run, phase| {
+            run.attempt.term() < term && phase == GrantPhase::Held
+        };
+        for (run, grant) in &mut self.grants {
+            if stale(run, grant.phase()) {
+                grant.give_up(cx);
+            }
+        }
+        for (run, lead) in &mut self.leads {
+            if run.attempt.term() < term {
+                lead.give_up_unstaged(Kind::GangAborted, cx);
+            }
+        }
+    }
+
+    fn full_report(&self, now: Duration) -> AgentReport {
+        let grants = self.grants.iter().map(|(run, grant)| GrantReport {
+            run: *run,
+            header: grant.header().clone(),
+            need: grant.need(),
+            phase: grant.phase(),
+            members: grant.members().to_vec(),
+            age: now.saturating_sub(grant.since()),
+        });
+        let endings = self.endings.iter();
+        AgentReport::Full {
+            term: self.following.term,
+            worker: self.worker.clone(),
+            grants: grants.collect(),
+            endings: endings
+                .map(|(run, (h, e))| (*run, h.clone(), e.clone()))
+                .collect(),
+        }
+    }
+
+    fn hold(&mut self, now: Duration, hold: Hold, cx: &mut Cx) {
+        let run = hold.run;
+        if self.grants.contains_key(&run) {
+            self.report(AgentReport::Held { run }, cx);
+            return;
+        }
+        let parts = u32::try_from(hold.parts.len()).unwrap_or(u32::MAX);
+        let need = hold.header.shape.need(parts);
+        let room = self.worker.capacity.minus(self.used());
+        if self.tombs.holds(run) || !room.fits(need) || self.draining {
+            cx.note(Code::GrantRefused, run, "");
+            self.tombs.bury(run);
+            self.report(AgentReport::Refused { run }, cx);
+            return;
+        }
+        let leads = hold
+            .members
+            .first()
+            .is_some_and(|m| m.worker == self.worker.name);
+        let solo = hold.members.len() == 1;
+        if leads {
+            let lead = Lead::new(now, run, hold.header.clone(), &hold, solo);
+            self.leads.insert(run, lead);
+        }
+        cx.note(Code::GrantHeld, run, &format!("parts={parts}"));
+        let mut grant = Grant::new(now, hold, need);
+        if solo {
+            cx.note(Code::GangStarted, run, "members=1");
+            self.report(AgentReport::Started { run }, cx);
+            grant.start(now, cx);
+        } else {
+            self.report(AgentReport::Held { run }, cx);
+        }
+        self.grants.insert(run, grant);
+    }
+
+    fn release(&mut self, run: Run, cx: &mut Cx) {
+        if let Some(grant) = self.grants.get_mut(&run)
+            && grant.phase() == GrantPhase::Held
+        {
+            grant.give_up(cx);
+        }
+        if let Some(lead) = self.leads.get_mut(&run) {
+            lead.give_up_unstaged(Kind::GangAborted, cx);
+        } else if !self.grants.contains_key(&run) {
+            self.tombs.bury(run);
+            self.report(AgentReport::Refused { run }, cx);
+        }
+    }
+
+    fn cancel(
+        &mut self,
+        now: Duration,
+        run: Run,
+        why: Kind,
+        window: Duration,
+        cx: &mut Cx,
+    ) {
+        if let Some(lead) = self.leads.get_mut(&run) {
+            lead.cancel(now, why, window, cx);
+        } else if let Some((_, ending)) = self.endings.get(&run) {
+            let ending = ending.clone();
+            self.report(AgentReport::Ended { run, ending }, cx);
+        } else if self.acknowledged.holds(run) {
+            let ending = Ending::Failed {
+                kind: Kind::OutcomeLost,
+                why: "the ending was acknowledged before".to_owned(),
+                culprit: None,
+            };
+            self.report(AgentReport::Ended { run, ending }, cx);
+        } else if !self.grants.contains_key(&run) {
+            // It was never led here: from now on it never will be, so this
+            // is a true "nothing ran".
+            self.tombs.bury(run);
+            let ending = Ending::NothingRan(why);
+            self.report(AgentReport::Ended { run, ending }, cx);
+        }
+    }
+
+    fn member(
+        &mut self,
+        now: Duration,
+        run: Run,
+        request: &MemberRequest,
+        cx: &mut Cx,
+    ) {
+        if let Some(grant) = self.grants.get_mut(&run) {
+            grant.request(now, request, cx);
+        }
+        // Without a grant there is no address to answer to; the transport
+        // answers `Gone` on the stream that the request came by. See
+        // `knows`.
+    }
+
+    /// Whether there is a grant for this attempt. A lead that asks for one
+    /// that is not there is told [`MemberReport::Gone`], and the attempt is
+    /// refused from then on.
+    pub fn knows(&mut self, run: Run) -> bool {
+        let known = self.grants.contains_key(&run);
+        if !known {
+            self.tombs.bury(run);
+        }
+        known
+    }
+
+    fn part(
+        &mut self,
+        now: Duration,
+        task: Task,
+        event: PartEvent,
+        cx: &mut Cx,
+    ) {
+        if let Some(grant) = self.grants.get_mut(&task.run) {
+            grant.part(now, task.rank, event, cx);
+        }
+    }
+}
+
+const fn term_of(request: &AgentRequest) -> u64 {
+    match request {
+        AgentRequest::Coordinate { term }
+        | AgentRequest::Release { term, .. }
+        | AgentRequest::Stage { term, .. }
+        | AgentRequest::Cancel { term, .. } => *term,
+        AgentRequest::Hold(hold) => hold.term,
+        AgentRequest::Ack { .. } => 0,
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/agent/grant.rs
@@ -0,0 +1,381 @@
+//! One gang's share of a worker, from its hold to its last part.
+
+use std::time::Duration;
+
+use figrill_state::{event::Code, worker::Capacity};
+
+use crate::message::{
+    GrantPhase, Header, Hold, Member, MemberReport, MemberRequest, Part, Run,
+};
+
+use super::{Action, Cx, PROMISE, RESEND, RUN_LEASE, Task, ToSelf};
+
+/// What an upstream call brought.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PartEvent {
+    /// The part's answer.
+    Answered(Vec<u8>),
+    /// The part failed, or can no longer be reached.
+    Failed(String),
+    /// The part was stopped.
+    Stopped(Option<Vec<u8>>),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Held { until: Duration },
+    Ready { until: Duration },
+    Committed { until: Duration },
+    Running { until: Duration },
+    Stopping,
+    Over,
+}
+
+enum Progress {
+    Waiting,
+    Running,
+    Ended {
+        report: MemberReport,
+        sent: Duration,
+    },
+    Taken,
+}
+
+struct Slot {
+    part: Part,
+    progress: Progress,
+}
+
+/// A grant and its parts.
+pub struct Grant {
+    run: Run,
+    header: Header,
+    members: Vec<Member>,
+    need: Capacity,
+    since: Duration,
+    phase: Phase,
+    slots: Vec<Slot>,
+    solo: bool,
+    leads: bool,
+}
+
+impl Grant {
+    /// A hold.
+    #[must_use]
+    pub fn new(now: Duration, hold: Hold, need: Capacity) -> Self {
+        let first = hold.members.first().map(|m| m.ranks.clone());
+        let mine = hold.parts.first().map(|p| p.rank);
+        let leads = mine
+            .zip(first)
+            .is_some_and(|(rank, ranks)| ranks.contains(&rank));
+        let slots = hold.parts.into_iter().map(|part| Slot {
+            part,
+            progress: Progress::Waiting,
+        });
+        Self {
+            run: hold.run,
+            header: hold.header,
+            solo: hold.members.len() == 1,
+            leads,
+            members: hold.members,
+            need,
+            since: now,
+            phase: Phase::Held {
+                until: now + hold.ttl,
+            },
+            slots: slots.collect(),
+        }
+    }
+
+    /// What it takes from the worker.
+    #[must_use]
+    pub const fn need(&self) -> Capacity {
+        self.need
+    }
+
+    /// What is known of the job.
+    #[must_use]
+    pub const fn header(&self) -> &Header {
+        &self.header
+    }
+
+    /// The whole gang.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// When it was granted.
+    #[must_use]
+    pub const fn since(&self) -> Duration {
+        self.since
+    }
+
+    /// How far it has come.
+    #[must_use]
+    pub const fn phase(&self) -> GrantPhase {
+        match self.phase {
+            Phase::Held { .. } => GrantPhase::Held,
+            Phase::Ready { .. } | Phase::Committed { .. } => {
+                GrantPhase::Promised
+            }
+            Phase::Running { .. } => GrantPhase::Running,
+            Phase::Stopping | Phase::Over => GrantPhase::Stopping,
+        }
+    }
+
+    /// Whether its capacity is free again.
+    #[must_use]
+    pub const fn is_over(&self) -> bool {
+        matches!(self.phase, Phase::Over)
+    }
+
+    /// Gives a grant up of which nothing was started.
+    pub(crate) fn give_up(&mut self, cx: &mut Cx) {
+        cx.note(Code::GrantReleased, self.run, "");
+        self.phase = Phase::Over;
+    }
+
+    /// Lapses what has run out, and sends again what was not acknowledged.
+    pub(crate) fn expire(&mut self, now: Duration, cx: &mut Cx) {
+        match self.phase {
+            Phase::Held { until }
+            | Phase::Ready { until }
+            | Phase::Committed { until }
+                if now >= until =>
+            {
+                cx.note(Code::GrantLapsed, self.run, "");
+                self.phase = Phase::Over;
+                self.to_lead(MemberReport::Gone, cx);
+            }
+            Phase::Running { until } if now >= until && !self.solo => {
+                cx.note(Code::RunLeaseLapsed, self.run, "");
+                self.stop(Duration::ZERO, cx);
+            }
+            _ => {}
+        }
+        self.resend(now, cx);
+    }
+
+    fn resend(&mut self, now: Duration, cx: &mut Cx) {
+        let mut again = Vec::new();
+        for slot in &mut self.slots {
+            if let Progress::Ended { report, sent } = &mut slot.progress
+                && now >= *sent + RESEND
+            {
+                *sent = now;
+                again.push(report.clone());
+            }
+        }
+        for report in again {
+            self.to_lead(report, cx);
+        }
+    }
+
+    /// Takes a message of the lead.
+    pub(crate) fn request(
+        &mut self,
+        now: Duration,
+        request: &MemberRequest,
+        cx: &mut Cx,
+    ) {
+        match request {
+            MemberRequest::Prepare => self.prepare(now, cx),
+            MemberRequest::Commit => self.commit(now, cx),
+            MemberRequest::Start => self.start_at_word(now, cx),
+            MemberRequest::Renew => self.renew(now, cx),
+            MemberRequest::Taken { rank } => self.taken(*rank),
+            MemberRequest::Abort => self.abort(cx),
+            MemberRequest::Stop { window } => self.stop(*window, cx),
+        }
+    }
+
+    fn prepare(&mut self, now: Duration, cx: &mut Cx) {
+        match self.phase {
+            Phase::Held { .. } | Phase::Ready { .. } => {
+                self.phase = Phase::Ready {
+                    until: now + PROMISE,
+                };
+                cx.note(Code::GangReady, self.run, "");
+                self.to_lead(MemberReport::Ready, cx);
+            }
+            Phase::Committed { .. } | Phase::Running { .. } => {
+                self.to_lead(MemberReport::Ready, cx);
+            }
+            Phase::Stopping | Phase::Over => {
+                self.to_lead(MemberReport::Gone, cx);
+            }
+        }
+    }
+
+    fn commit(&mut self, now: Duration, cx: &mut Cx) {
+        match self.phase {
+            Phase::Ready { .. } | Phase::Committed { .. } => {
+                self.phase = Phase::Committed {
+                    until: now + PROMISE,
+                };
+                cx.note(Code::GangCommitted, self.run, "");
+                self.to_lead(MemberReport::Committed, cx);
+            }
+            Phase::Running { .. } => {
+                self.to_lead(MemberReport::Committed, cx);
+            }
+            Phase::Held { .. } | Phase::Stopping | Phase::Over => {
+                self.to_lead(MemberReport::Gone, cx);
+            }
+        }
+    }
+
+    fn start_at_word(&mut self, now: Duration, cx: &mut Cx) {
+        match self.phase {
+            Phase::Committed { .. } => {
+                self.start(now, cx);
+                self.to_lead(MemberReport::Started, cx);
+            }
+            Phase::Running { .. } | Phase::Stopping => {
+                self.to_lead(MemberReport::Started, cx);
+            }
+            Phase::Held { .. } | Phase::Ready { .. } | Phase::Over => {
+                self.to_lead(MemberReport::Gone, cx);
+            }
+        }
+    }
+
+    /// Starts all parts.
+    pub(crate) fn start(&mut self, now: Duration, cx: &mut Cx) {
+        self.phase = Phase::Running {
+            until: now + RUN_LEASE,
+        };
+        for slot in &mut self.slots {
+            slot.progress = Progress::Running;
+            let rank = slot.part.rank;
+            cx.note(Code::PartStarted, self.run, &format!("rank={rank}"));
+            cx.actions.push(Action::Start {
+                task: Task {
+                    run: self.run,
+                    rank,
+                },
+                // The input is not needed again on this worker.
+                input: std::mem::take(&mut slot.part.input),
+                checkpoint: slot.part.checkpoint.take(),
+            });
+        }
+    }
+
+    fn renew(&mut self, now: Duration, cx: &mut Cx) {
+        if let Phase::Running { until } = &mut self.phase {
+            *until = now + RUN_LEASE;
+            self.to_lead(MemberReport::Alive, cx);
+        }
+    }
+
+    fn taken(&mut self, rank: u32) {
+        let slot = self.slots.iter_mut().find(|s| s.part.rank == rank);
+        if let Some(slot) = slot
+            && matches!(slot.progress, Progress::Ended { .. })
+        {
+            slot.progress = Progress::Taken;
+        }
+        let all = self
+            .slots
+            .iter()
+            .all(|s| matches!(s.progress, Progress::Taken));
+        if all {
+            self.phase = Phase::Over;
+        }
+    }
+
+    fn abort(&mut self, cx: &mut Cx) {
+        match self.phase {
+            Phase::Held { .. }
+            | Phase::Ready { .. }
+            | Phase::Committed { .. } => {
+                cx.note(Code::GrantReleased, self.run, "aborted");
+                self.phase = Phase::Over;
+            }
+            Phase::Running { .. } => self.stop(Duration::ZERO, cx),
+            Phase::Stopping | Phase::Over => {}
+        }
+    }
+
+    fn stop(&mut self, window: Duration, cx: &mut Cx) {
+        match self.phase {
+            Phase::Running { .. } => {}
+            Phase::Stopping | Phase::Over => return,
+            _ => {
+                self.give_up(cx);
+                self.to_lead(MemberReport::Gone, cx);
+                return;
+            }
+        }
+        self.phase = Phase::Stopping;
+        for slot in &self.slots {
+            if matches!(slot.progress, Progress::Running) {
+                let task = Task {
+                    run: self.run,
+                    rank: slot.part.rank,
+                };
+                cx.actions.push(Action::Stop { task, window });
+            }
+        }
+        self.end_if_stopped();
+    }
+
+    /// Takes what the upstream says of a part.
+    pub(crate) fn part(
+        &mut self,
+        now: Duration,
+        rank: u32,
+        event: PartEvent,
+        cx: &mut Cx,
+    ) {
+        let slot = self.slots.iter_mut().find(|s| s.part.rank == rank);
+        let Some(slot) = slot else { return };
+        if !matches!(slot.progress, Progress::Running) {
+            return;
+        }
+        let (code, how) = match &event {
+            PartEvent::Answered(_) => (Code::PartEnded, "answered"),
+            PartEvent::Failed(_) => (Code::PartEnded, "failed"),
+            PartEvent::Stopped(_) => (Code::PartStopped, "stopped"),
+        };
+        cx.note(code, self.run, &format!("rank={rank} how={how}"));
+        let report = match event {
+            PartEvent::Answered(bytes) => {
+                MemberReport::Answered { rank, bytes }
+            }
+            PartEvent::Failed(why) => MemberReport::Failed { rank, why },
+            PartEvent::Stopped(checkpoint) => {
+                MemberReport::Stopped { rank, checkpoint }
+            }
+        };
+        slot.progress = Progress::Ended {
+            report: report.clone(),
+            sent: now,
+        };
+        self.to_lead(report, cx);
+        self.end_if_stopped();
+    }
+
+    /// A gang that is being stopped has no whole answer to deliver, so the
+    /// grant ends with its last part, acknowledged or not.
+    fn end_if_stopped(&mut self) {
+        let running = |s: &Slot| matches!(s.progress, Progress::Running);
+        if self.phase == Phase::Stopping && !self.slots.iter().any(running) {
+            self.phase = Phase::Over;
+        }
+    }
+
+    fn to_lead(&self, report: MemberReport, cx: &mut Cx) {
+        if self.leads {
+            cx.to_self.push_back(ToSelf::Member(self.run, report));
+        } else if let Some(lead) = self.members.first() {
+            let lead = lead.clone();
+            cx.actions.push(Action::ToLead {
+                lead,
+                run: self.run,
+                report,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/agent/lead.rs
@@ -0,0 +1,529 @@
+//! The lead of a gang decides, alone and once, that the gang starts, and
+//! stops all of it when a part is lost.
+//!
+//! The decision lives on a worker whose loss dooms the gang anyway, so no
+//! other process ever waits for a decider that is gone. Rounds: prepare
+//! (each member promises for [`PROMISE`]), commit (each acknowledges and
+//! promises again), start (repeated until acknowledged). The lead counts a
+//! promise from when it asked, not from when it heard, so it always ends
+//! earlier at the lead than at the member.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use figrill_state::{
+    error::Kind,
+    event::Code,
+    job::{Answer, MAX_JOB_BYTES, PartAnswer},
+};
+
+use crate::message::{
+    Ending, Header, Hold, Member, MemberReport, MemberRequest, Run,
+};
+
+use super::{Action, Cx, PROMISE, RESEND, RUN_LEASE, ToSelf};
+
+/// What must be left of every promise when the lead decides.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// Time between two renewals of the members' run leases.
+pub const RENEW_EVERY: Duration = Duration::from_secs(1);
+
+/// How long the lead waits for members to say that they have stopped. By
+/// then their run leases have lapsed, whether they heard the lead or not.
+const STOP_WAIT: Duration = Duration::from_secs(8);
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Waiting { until: Duration },
+    Preparing { asked: Duration },
+    Committing { asked: Duration },
+    Starting { decided: Duration },
+    Running,
+    Stopping { since: Duration },
+}
+
+#[derive(Clone)]
+struct Failure {
+    kind: Kind,
+    why: String,
+    culprit: Option<String>,
+}
+
+/// How far a member has come, as it told the lead.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Stage {
+    Held,
+    Ready,
+    Committed,
+    Started,
+    Gone,
+}
+
+struct MemberState {
+    member: Member,
+    stage: Stage,
+    heard: Duration,
+}
+
+impl MemberState {
+    fn reach(&mut self, stage: Stage) {
+        self.stage = self.stage.max(stage);
+    }
+
+    fn has(&self, stage: Stage) -> bool {
+        self.stage >= stage
+    }
+}
+
+/// A gang as its lead sees it.
+pub struct Lead {
+    run: Run,
+    header: Header,
+    members: Vec<MemberState>,
+    phase: Phase,
+    sent: Duration,
+    answers: BTreeMap<u32, Vec<u8>>,
+    bytes: usize,
+    checkpoints: BTreeMap<u32, Option<Vec<u8>>>,
+    failure: Option<Failure>,
+    stop_window: Duration,
+    requested: bool,
+    ending: Option<Ending>,
+}
+
+impl Lead {
+    /// The lead of a gang that is held; `solo` if it is all on this worker
+    /// and so has started.
+    #[must_use]
+    pub fn new(
+        now: Duration,
+        run: Run,
+        header: Header,
+        hold: &Hold,
+        solo: bool,
+    ) -> Self {
+        let members = hold.members.iter().map(|member| MemberState {
+            member: member.clone(),
+            stage: if solo { Stage::Started } else { Stage::Held },
+            heard: now,
+        });
+        let waiting = Phase::Waiting {
+            until: now + hold.ttl,
+        };
+        Self {
+            run,
+            header,
+            members: members.collect(),
+            phase: if solo { Phase::Running } else { waiting },
+            sent: now,
+            answers: BTreeMap::new(),
+            bytes: 0,
+            checkpoints: BTreeMap::new(),
+            failure: None,
+            stop_window: Duration::ZERO,
+            requested: false,
+            ending: None,
+        }
+    }
+
+    /// How the gang ended, once it has.
+    #[must_use]
+    pub const fn ending(&self) -> Option<&Ending> {
+        self.ending.as_ref()
+    }
+
+    /// The header and the ending of a gang that has ended.
+    #[must_use]
+    pub fn finish(self) -> (Header, Ending) {
+        let lost = || Ending::Failed {
+            kind: Kind::OutcomeLost,
+            why: String::new(),
+            culprit: None,
+        };
+        (self.header, self.ending.unwrap_or_else(lost))
+    }
+
+    /// The coordinator says that all members hold.
+    pub(crate) fn stage(&mut self, now: Duration, cx: &mut Cx) {
+        if let Phase::Waiting { .. } = self.phase {
+            self.phase = Phase::Preparing { asked: now };
+            self.sent = now;
+            self.to_all(&MemberRequest::Prepare, cx);
+        }
+    }
+
+    /// Ends the gang if it was never staged.
+    pub(crate) fn give_up_unstaged(&mut self, why: Kind, cx: &mut Cx) {
+        if let Phase::Waiting { .. } = self.phase {
+            self.abort(why, cx);
+        }
+    }
+
+    /// Ends the gang, whatever it has come to.
+    pub(crate) fn cancel(
+        &mut self,
+        now: Duration,
+        why: Kind,
+        window: Duration,
+        cx: &mut Cx,
+    ) {
+        match self.phase {
+            Phase::Waiting { .. }
+            | Phase::Preparing { .. }
+            | Phase::Committing { .. } => self.abort(why, cx),
+            Phase::Starting { .. } | Phase::Running => {
+                self.requested = true;
+                let failure = Failure {
+                    kind: why,
+                    why: "stopped on request".to_owned(),
+                    culprit: None,
+                };
+                self.fail(now, failure, window, cx);
+            }
+            Phase::Stopping { .. } => {}
+        }
+    }
+
+    /// Takes a member's message.
+    pub(crate) fn report(
+        &mut self,
+        now: Duration,
+        worker: &str,
+        incarnation: u64,
+        report: MemberReport,
+        cx: &mut Cx,
+    ) {
+        if self.ending.is_some() {
+            return;
+        }
+        let Some(i) = self.members.iter().position(|m| {
+            m.member.worker == worker && m.member.incarnation == incarnation
+        }) else {
+            return;
+        };
+        self.members[i].heard = now;
+        match report {
+            MemberReport::Ready => self.members[i].reach(Stage::Ready),
+            MemberReport::Committed => {
+                self.members[i].reach(Stage::Committed);
+            }
+            MemberReport::Started => self.members[i].reach(Stage::Started),
+            MemberReport::Alive => {}
+            MemberReport::Gone => self.gone(now, i, cx),
+            MemberReport::Answered { rank, bytes } => {
+                self.answered(now, i, rank, bytes, cx);
+            }
+            MemberReport::Failed { rank, why } => {
+                self.taken(i, rank, cx);
+                self.checkpoints.entry(rank).or_insert(None);
+                let why = format!("rank {rank}: {why}");
+                self.part_failed(now, why, i, cx);
+            }
+            MemberReport::Stopped { rank, checkpoint } => {
+                self.taken(i, rank, cx);
+                self.checkpoints.insert(rank, checkpoint);
+                let why = format!("rank {rank} was stopped");
+                self.worker_lost(now, why, cx);
+            }
+        }
+        self.advance(now, cx);
+    }
+
+    /// Sends again what was not acknowledged, renews, and gives up what has
+    /// taken too long.
+    pub(crate) fn tick(&mut self, now: Duration, cx: &mut Cx) {
+        if self.ending.is_some() {
+            return;
+        }
+        self.deadlines(now, cx);
+        if self.ending.is_some() {
+            return;
+        }
+        let every = match self.phase {
+            Phase::Running => RENEW_EVERY,
+            _ => RESEND,
+        };
+        if now < self.sent + every {
+            return;
+        }
+        self.sent = now;
+        self.send_again(cx);
+    }
+
+    fn deadlines(&mut self, now: Duration, cx: &mut Cx) {
+        match self.phase {
+            Phase::Waiting { until } if now >= until => {
+                self.abort(Kind::GangAborted, cx);
+            }
+            Phase::Preparing { asked } | Phase::Committing { asked }
+                if now + MARGIN >= asked + PROMISE =>
+            {
+                self.abort(Kind::GangAborted, cx);
+            }
+            Phase::Starting { decided } if now >= decided + PROMISE => {
+                let why = "a member never started".to_owned();
+                self.worker_lost(now, why, cx);
+            }
+            Phase::Running if self.members.len() > 1 => {
+                self.lose_silent(now, cx);
+            }
+            Phase::Stopping { since }
+                if now >= since + STOP_WAIT + self.stop_window =>
+            {
+                self.stopped();
+            }
+            _ => {}
+        }
+    }
+
+    fn lose_silent(&mut self, now: Duration, cx: &mut Cx) {
+        let silent = self
+            .members
+            .iter()
+            .find(|m| now >= m.heard + RUN_LEASE && !self.has_all_of(m))
+            .map(|m| m.member.worker.clone());
+        if let Some(worker) = silent {
+            let why = format!("worker {worker} is silent");
+            self.worker_lost(now, why, cx);
+        }
+    }
+
+    fn send_again(&mut self, cx: &mut Cx) {
+        let (request, pending): (_, fn(&MemberState) -> bool) =
+            match self.phase {
+                Phase::Waiting { .. } => return,
+                Phase::Preparing { .. } => {
+                    (MemberRequest::Prepare, |m| !m.has(Stage::Ready))
+                }
+                Phase::Committing { .. } => {
+                    (MemberRequest::Commit, |m| !m.has(Stage::Committed))
+                }
+                Phase::Starting { .. } => {
+                    (MemberRequest::Start, |m| !m.has(Stage::Started))
+                }
+                Phase::Running => (MemberRequest::Renew, |_| true),
+                Phase::Stopping { .. } => {
+                    let window = self.stop_window;
+                    (MemberRequest::Stop { window }, |m| !m.has(Stage::Gone))
+                }
+            };
+        for state in &self.members {
+            if pending(state) && !self.has_all_of(state) {
+                self.send(&state.member, request.clone(), cx);
+            }
+        }
+    }
+
+    fn advance(&mut self, now: Duration, cx: &mut Cx) {
+        match self.phase {
+            Phase::Preparing { asked }
+                if self.members.iter().all(|m| m.has(Stage::Ready))
+                    && now + MARGIN < asked + PROMISE =>
+            {
+                self.phase = Phase::Committing { asked: now };
+                self.sent = now;
+                self.to_all(&MemberRequest::Commit, cx);
+            }
+            Phase::Committing { asked }
+                if self.members.iter().all(|m| m.has(Stage::Committed))
+                    && now + MARGIN < asked + PROMISE =>
+            {
+                self.phase = Phase::Starting { decided: now };
+                self.sent = now;
+                let detail = format!("members={}", self.members.len());
+                cx.note(Code::GangStarted, self.run, &detail);
+                self.to_all(&MemberRequest::Start, cx);
+            }
+            Phase::Starting { .. }
+                if self.members.iter().all(|m| m.has(Stage::Started)) =>
+            {
+                self.phase = Phase::Running;
+            }
+            _ => {}
+        }
+        self.complete(cx);
+    }
+
+    fn complete(&mut self, cx: &mut Cx) {
+        match self.phase {
+            Phase::Running if self.answers.len() == self.parts() => {
+                cx.note(Code::GangDone, self.run, "");
+                let answers = std::mem::take(&mut self.answers);
+                let parts = answers.into_iter();
+                let answer = Answer {
+                    attempt: self.run.attempt,
+                    parts: parts
+                        .map(|(rank, bytes)| PartAnswer { rank, bytes })
+                        .collect(),
+                };
+                self.ending = Some(Ending::Done(answer));
+            }
+            Phase::Stopping { .. } if self.all_stopped() => self.stopped(),
+            _ => {}
+        }
+    }
+
+    /// Whether a member has answered all its parts. Its grant is over then,
+    /// so it is neither renewed nor missed.
+    fn has_all_of(&self, state: &MemberState) -> bool {
+        let mut ranks = state.member.ranks.iter();
+        ranks.all(|rank| self.answers.contains_key(rank))
+    }
+
+    fn parts(&self) -> usize {
+        self.members.iter().map(|m| m.member.ranks.len()).sum()
+    }
+
+    fn all_stopped(&self) -> bool {
+        self.members.iter().all(|state| {
+            state.has(Stage::Gone)
+                || state.member.ranks.iter().all(|rank| {
+                    self.answers.contains_key(rank)
+                        || self.checkpoints.contains_key(rank)
+                })
+        })
+    }
+
+    fn stopped(&mut self) {
+        let failure = self.failure.take().unwrap_or(Failure {
+            kind: Kind::WorkerLost,
+            why: String::new(),
+            culprit: None,
+        });
+        let parts = u32::try_from(self.parts()).unwrap_or(u32::MAX);
+        let checkpoints = (0..parts)
+            .map(|rank| self.checkpoints.remove(&rank).flatten())
+            .collect();
+        self.ending = Some(if self.requested {
+            Ending::Stopped(failure.kind, checkpoints)
+        } else {
+            Ending::Failed {
+                kind: failure.kind,
+                why: failure.why,
+                culprit: failure.culprit,
+            }
+        });
+    }
+
+    fn answered(
+        &mut self,
+        now: Duration,
+        member: usize,
+        rank: u32,
+        bytes: Vec<u8>,
+        cx: &mut Cx,
+    ) {
+        if !self.members[member].member.ranks.contains(&rank) {
+            return;
+        }
+        self.members[member].reach(Stage::Started);
+        self.taken(member, rank, cx);
+        let length = bytes.len();
+        if self.answers.insert(rank, bytes).is_none() {
+            self.bytes += length;
+        }
+        if self.bytes > MAX_JOB_BYTES {
+            let why = format!(
+                "the whole answer is over {MAX_JOB_BYTES} bytes; let each \
+                 part answer less"
+            );
+            self.part_failed(now, why, member, cx);
+        }
+    }
+
+    fn part_failed(
+        &mut self,
+        now: Duration,
+        why: String,
+        member: usize,
+        cx: &mut Cx,
+    ) {
+        let culprit = self.members[member].member.worker.clone();
+        let failure = Failure {
+            kind: Kind::PartFailed,
+            why,
+            culprit: Some(culprit),
+        };
+        self.fail(now, failure, Duration::ZERO, cx);
+    }
+
+    fn worker_lost(&mut self, now: Duration, why: String, cx: &mut Cx) {
+        let failure = Failure {
+            kind: Kind::WorkerLost,
+            why,
+            culprit: None,
+        };
+        self.fail(now, failure, Duration::ZERO, cx);
+    }
+
+    fn taken(&self, member: usize, rank: u32, cx: &mut Cx) {
+        let to = &self.members[member].member;
+        self.send(to, MemberRequest::Taken { rank }, cx);
+    }
+
+    fn gone(&mut self, now: Duration, member: usize, cx: &mut Cx) {
+        if self.has_all_of(&self.members[member]) {
+            return;
+        }
+        self.members[member].reach(Stage::Gone);
+        let worker = self.members[member].member.worker.clone();
+        match self.phase {
+            Phase::Waiting { .. }
+            | Phase::Preparing { .. }
+            | Phase::Committing { .. } => {
+                self.abort(Kind::GangAborted, cx);
+            }
+            Phase::Starting { .. } | Phase::Running => {
+                let why = format!("worker {worker} lost its part");
+                self.worker_lost(now, why, cx);
+            }
+            Phase::Stopping { .. } => {}
+        }
+    }
+
+    fn abort(&mut self, why: Kind, cx: &mut Cx) {
+        cx.note(Code::GangAborted, self.run, "");
+        self.to_all(&MemberRequest::Abort, cx);
+        self.ending = Some(Ending::NothingRan(why));
+    }
+
+    fn fail(
+        &mut self,
+        now: Duration,
+        failure: Failure,
+        window: Duration,
+        cx: &mut Cx,
+    ) {
+        if let Phase::Stopping { .. } = self.phase {
+            return;
+        }
+        cx.note(Code::GangFailed, self.run, &failure.why);
+        self.phase = Phase::Stopping { since: now };
+        self.sent = now;
+        self.stop_window = window;
+        self.failure = Some(failure);
+        self.to_all(&MemberRequest::Stop { window }, cx);
+        self.complete(cx);
+    }
+
+    fn to_all(&self, request: &MemberRequest, cx: &mut Cx) {
+        for state in &self.members {
+            self.send(&state.member, request.clone(), cx);
+        }
+    }
+
+    fn send(&self, to: &Member, request: MemberRequest, cx: &mut Cx) {
+        // The first member is the lead's own worker.
+        let own = self.members.first().map(|m| &m.member);
+        if own == Some(to) {
+            cx.to_self.push_back(ToSelf::Lead(self.run, request));
+            return;
+        }
+        let member = to.clone();
+        cx.actions.push(Action::ToMember {
+            member,
+            run: self.run,
+            request,
+        });
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/agent/tombs.rs
@@ -0,0 +1,37 @@
+//! Attempts that this agent refuses for good.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use crate::message::Run;
+
+/// The most attempts remembered. A coordinator never asks again for an
+/// attempt that was refused, so only messages still under way matter.
+const TOMBS_MAX: usize = 4096;
+
+/// A bounded set; the oldest go first.
+#[derive(Debug, Default)]
+pub struct Tombs {
+    order: VecDeque<Run>,
+    set: BTreeSet<Run>,
+}
+
+impl Tombs {
+    /// Refuses `run` from now on.
+    pub fn bury(&mut self, run: Run) {
+        if !self.set.insert(run) {
+            return;
+        }
+        self.order.push_back(run);
+        if self.order.len() > TOMBS_MAX
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.set.remove(&oldest);
+        }
+    }
+
+    /// Whether `run` is refused.
+    #[must_use]
+    pub fn holds(&self, run: Run) -> bool {
+        self.set.contains(&run)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/coordinator/attempts.rs
@@ -0,0 +1,755 @@
+//! Attempts: from a chosen place to the lead's word on how it ended.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use figrill_state::{
+    error::Kind,
+    event::Code,
+    job::{Job, JobId, Outcome},
+};
+
+use crate::message::{
+    AgentReport, AgentRequest, Ending, Hold, JobReport, Member, Part, Run,
+    Standing,
+};
+
+use super::{
+    Action, Coordinator, HOLD_TTL, HOLD_WAIT, LEAD_LOST_AFTER, MarkError,
+    UNKNOWN_AFTER,
+    cell::Booked,
+    health::Change,
+    job_state::{Booking, Choice, JobState, Phase},
+};
+
+/// Time before a job is placed again after its holds were refused.
+const PLACE_AGAIN: Duration = Duration::from_millis(100);
+
+/// Time before a job is placed again after the store did not answer.
+const MARK_AGAIN: Duration = Duration::from_secs(1);
+
+impl Coordinator {
+    /// Books a chosen place and goes on to the first step that it needs.
+    pub(super) fn dispatch(
+        &mut self,
+        now: Duration,
+        job: JobId,
+        choice: Choice,
+    ) {
+        let attempt = self.next_attempt();
+        let run = Run { job, attempt };
+        self.queue.remove(job);
+        if self.reservation.as_ref().is_some_and(|r| r.job == job) {
+            self.reservation = None;
+        }
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        state.header.band = choice.band;
+        let shape = state.header.shape;
+        let mut members = Vec::new();
+        let mut rank = 0;
+        for (i, parts) in &choice.placement.shares {
+            let node = &self.cell.nodes()[*i];
+            members.push(Member {
+                worker: node.name.clone(),
+                incarnation: node.incarnation,
+                address: node.address.clone(),
+                ranks: (rank..rank + parts).collect(),
+            });
+            rank += parts;
+        }
+        for (i, need) in choice.placement.needs(&shape) {
+            let booked = Booked {
+                need,
+                band: choice.band,
+            };
+            self.cell.book(i, run, booked);
+        }
+        if let Some(claim) = choice.claim {
+            self.guarantees.claim(run, claim);
+        }
+        let booking = Booking {
+            run,
+            members,
+            band: choice.band,
+            placed: now,
+        };
+        let detail = format!(
+            "attempt={attempt} band={:?} workers={}",
+            booking.band,
+            booking.members.len()
+        );
+        self.note(Code::JobPlaced, job, &detail);
+        if choice.victims.is_empty() {
+            self.proceed(now, booking);
+        } else {
+            self.reclaim(now, booking, choice.victims);
+        }
+    }
+
+    /// Moves borrowers out of a booked place.
+    fn reclaim(
+        &mut self,
+        now: Duration,
+        booking: Booking,
+        victims: BTreeSet<Run>,
+    ) {
+        let job = booking.run.job;
+        let detail = format!("victims={}", victims.len());
+        self.note(Code::ReclaimStarted, job, &detail);
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        let header = &state.header;
+        let policy = self.tree.effective(&header.workspace, &header.service);
+        let window = policy.map_or(HOLD_WAIT, |p| p.reclaim_window);
+        for victim in &victims {
+            self.end_attempt(now, victim.job, Kind::Reclaimed, window / 2);
+        }
+        // A borrower that has not left by then is out of reach; another
+        // place has the other half of the window.
+        let until = now + window / 2 + Duration::from_millis(500);
+        self.set_phase(
+            job,
+            Phase::Reclaiming {
+                booking,
+                victims,
+                until,
+            },
+        );
+        self.check_reclaim(now, job);
+    }
+
+    /// Marks the record, if there is one, then asks for the holds.
+    fn proceed(&mut self, now: Duration, booking: Booking) {
+        let run = booking.run;
+        let state = self.jobs.get(&run.job);
+        let version = state.and_then(|s| s.job.as_ref()?.record);
+        let lead = booking.lead().cloned();
+        if let (Some(version), Some(lead)) = (version, lead) {
+            self.set_phase(run.job, Phase::Marking(booking, version));
+            self.out.push(Action::Mark {
+                run,
+                version,
+                lead: lead.worker,
+                incarnation: lead.incarnation,
+            });
+            return;
+        }
+        self.ask(now, booking);
+    }
+
+    pub(super) fn marked(
+        &mut self,
+        now: Duration,
+        run: Run,
+        result: Result<u64, MarkError>,
+    ) {
+        let Some(state) = self.jobs.get_mut(&run.job) else {
+            return;
+        };
+        let Phase::Marking(booking, asked) = &state.phase else {
+            return;
+        };
+        let asked = Some(*asked);
+        if booking.run != run {
+            return;
+        }
+        let booking = booking.clone();
+        let cancelled = state.cancelled;
+        match result {
+            Ok(version) => {
+                if let Some(job) = &mut state.job {
+                    job.record = Some(version);
+                }
+                if let Some(kind) = cancelled {
+                    self.unbook(&booking);
+                    self.end_waiting(now, run.job, kind);
+                } else {
+                    self.ask(now, booking);
+                }
+            }
+            // Work that may be repeated does not wait for the store.
+            Err(MarkError::Unavailable)
+                if state.header.repeatable && cancelled.is_none() =>
+            {
+                self.ask(now, booking);
+            }
+            Err(MarkError::Unavailable) => {
+                self.unbook(&booking);
+                self.requeue(now, run.job, MARK_AGAIN);
+            }
+            Err(MarkError::Conflict) => {
+                self.unbook(&booking);
+                self.superseded(now, run.job, asked);
+            }
+            Err(MarkError::Ended(outcome)) => {
+                self.unbook(&booking);
+                self.end(now, run.job, outcome, None);
+            }
+            Err(MarkError::Dispatched(dispatched, version)) => {
+                self.unbook(&booking);
+                if let Some(job) = &mut self.job_mut(run.job) {
+                    job.record = Some(version);
+                }
+                let until = now + UNKNOWN_AFTER;
+                let phase = Phase::Sought { dispatched, until };
+                self.set_phase(run.job, phase);
+                self.tick_attempt(now, run.job);
+            }
+        }
+    }
+
+    fn job_mut(&mut self, job: JobId) -> Option<&mut Job> {
+        self.jobs.get_mut(&job)?.job.as_mut()
+    }
+
+    /// Another entry has taken the job over. If it was submitted here too,
+    /// the new version is known by now; if not, this copy must not run, and
+    /// the entries that asked follow the record.
+    fn superseded(&mut self, now: Duration, job: JobId, asked: Option<u64>) {
+        let known = self.job_mut(job).and_then(|j| j.record);
+        if known > asked {
+            self.requeue(now, job, Duration::ZERO);
+            return;
+        }
+        let Some(state) = self.jobs.remove(&job) else {
+            return;
+        };
+        for to in state.watchers {
+            let standing = Standing::Unheard;
+            let report = JobReport::Stands { job, standing };
+            self.out.push(Action::ToEntry { to, report });
+        }
+    }
+
+    /// Asks all members to hold; a gang on one worker starts with it.
+    fn ask(&mut self, now: Duration, booking: Booking) {
+        let run = booking.run;
+        let Some(state) = self.jobs.get(&run.job) else {
+            return;
+        };
+        let Some(job) = &state.job else { return };
+        let mut holds: Vec<(String, Hold)> = Vec::new();
+        for member in &booking.members {
+            let parts = member.ranks.iter().map(|rank| {
+                let at = usize::try_from(*rank).unwrap_or(usize::MAX);
+                Part {
+                    rank: *rank,
+                    input: job.inputs.get(at).cloned().unwrap_or_default(),
+                    checkpoint: state.checkpoints.get(rank).cloned(),
+                }
+            });
+            let hold = Hold {
+                term: self.term,
+                run,
+                header: state.header.clone(),
+                members: booking.members.clone(),
+                parts: parts.collect(),
+                ttl: HOLD_TTL,
+            };
+            holds.push((member.worker.clone(), hold));
+        }
+        // One order for all gangs: two of them never hold what the other
+        // waits for.
+        holds.sort_by(|a, b| a.0.cmp(&b.0));
+        let waiting = holds.iter().map(|(w, _)| w.clone()).collect();
+        if let Some(lead) = booking.lead() {
+            self.leads.insert(run, lead.worker.clone());
+        }
+        for member in &booking.members {
+            let name = member.worker.clone();
+            if self.health.probe(now, &name) {
+                self.note_worker(Code::WorkerProbed, &name);
+            }
+        }
+        for (worker, hold) in holds {
+            self.tell_agent(&worker, AgentRequest::Hold(hold));
+        }
+        let phase = if booking.is_solo() {
+            Phase::Started {
+                booking,
+                lost: None,
+            }
+        } else {
+            let until = now + HOLD_WAIT;
+            Phase::Holding {
+                booking,
+                waiting,
+                until,
+            }
+        };
+        self.set_phase(run.job, phase);
+    }
+
+    pub(super) fn agent(
+        &mut self,
+        now: Duration,
+        worker: &str,
+        incarnation: u64,
+        report: AgentReport,
+    ) {
+        match report {
+            AgentReport::Full {
+                term,
+                worker,
+                grants,
+                endings,
+            } => {
+                if term == self.term {
+                    self.full(now, &worker, grants, endings);
+                }
+            }
+            AgentReport::Changed { worker } => {
+                self.cell.update(&worker);
+                self.changed = true;
+            }
+            AgentReport::Held { run } => self.held(worker, run),
+            AgentReport::Refused { run } => self.refused(now, worker, run),
+            AgentReport::Fenced { .. } => {}
+            AgentReport::Started { run } => {
+                if self.current(run) {
+                    self.tell_watchers(run.job);
+                }
+            }
+            AgentReport::Ended { run, ending } => {
+                self.leads.insert(run, worker.to_owned());
+                self.ended_at_lead(now, run, ending);
+            }
+            AgentReport::Freed { run } => {
+                let node = self.cell.node(worker);
+                if node.is_some_and(|n| n.incarnation == incarnation) {
+                    self.freed(now, worker, run);
+                }
+            }
+        }
+    }
+
+    /// Whether `run` is the attempt that its job's books are about.
+    pub(super) fn current(&self, run: Run) -> bool {
+        let state = self.jobs.get(&run.job);
+        let booking = state.and_then(JobState::booking);
+        booking.is_some_and(|b| b.run == run)
+    }
+
+    fn held(&mut self, worker: &str, run: Run) {
+        let Some(state) = self.jobs.get_mut(&run.job) else {
+            return;
+        };
+        let Phase::Holding {
+            booking, waiting, ..
+        } = &mut state.phase
+        else {
+            return;
+        };
+        if booking.run != run {
+            return;
+        }
+        waiting.remove(worker);
+        if !waiting.is_empty() {
+            return;
+        }
+        let booking = booking.clone();
+        let term = self.term;
+        if let Some(lead) = booking.lead() {
+            let request = AgentRequest::Stage { term, run };
+            let worker = lead.worker.clone();
+            self.tell_agent(&worker, request);
+        }
+        self.set_phase(
+            run.job,
+            Phase::Started {
+                booking,
+                lost: None,
+            },
+        );
+    }
+
+    fn refused(&mut self, now: Duration, worker: &str, run: Run) {
+        if !self.current(run) {
+            return;
+        }
+        let Some(state) = self.jobs.get(&run.job) else {
+            return;
+        };
+        match state.phase.clone() {
+            Phase::Holding { booking, .. } => {
+                self.release(&booking);
+                self.requeue(now, run.job, PLACE_AGAIN);
+            }
+            // A gang on one worker that was refused there never started.
+            Phase::Started { booking, .. }
+                if booking.is_solo()
+                    && booking.lead().is_some_and(|l| l.worker == worker) =>
+            {
+                self.unbook(&booking);
+                self.nothing_ran(now, run.job, Kind::GangAborted);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes the lead's word on how an attempt ended.
+    pub(super) fn ended_at_lead(
+        &mut self,
+        now: Duration,
+        run: Run,
+        ending: Ending,
+    ) {
+        let sought = match self.jobs.get(&run.job).map(|s| &s.phase) {
+            Some(Phase::Sought { dispatched, .. }) => {
+                dispatched.attempt == run.attempt
+            }
+            _ => false,
+        };
+        if !self.current(run) && !sought {
+            self.ended_stale(run);
+            return;
+        }
+        let Some(state) = self.jobs.get(&run.job) else {
+            return;
+        };
+        let booking = state.booking().cloned();
+        if let Some(booking) = &booking {
+            self.guarantees.release(booking.run);
+        }
+        match ending {
+            Ending::Failed {
+                kind: Kind::OutcomeLost,
+                ..
+            } if sought => {
+                let outcome = Outcome::Unknown(Kind::OutcomeLost);
+                self.end(now, run.job, outcome, None);
+            }
+            Ending::Done(answer) => {
+                self.learn(now, run.job);
+                self.credit(booking.as_ref());
+                self.end(now, run.job, Outcome::Done(answer), Some(run));
+            }
+            Ending::Failed { kind, why, culprit } => {
+                self.ack_everywhere(run);
+                self.failed(now, run.job, kind, why, culprit);
+            }
+            Ending::NothingRan(kind) => {
+                self.ack_everywhere(run);
+                self.nothing_ran(now, run.job, kind);
+            }
+            Ending::Stopped(kind, checkpoints) => {
+                self.ack_everywhere(run);
+                self.stopped(now, run.job, kind, checkpoints);
+            }
+        }
+    }
+
+    /// An attempt that was given up has ended after all. If its job still
+    /// waits for an outcome, only a newer attempt may give it one.
+    fn ended_stale(&mut self, run: Run) {
+        let known = self.jobs.get(&run.job);
+        if known.is_some() {
+            let ended = known.and_then(|s| match &s.phase {
+                Phase::Saving { run, .. } | Phase::Ended { run, .. } => *run,
+                _ => None,
+            });
+            if ended != Some(run) {
+                let detail = format!("attempt={}", run.attempt);
+                self.note(Code::StaleAnswer, run.job, &detail);
+                self.ack_everywhere(run);
+            }
+        }
+    }
+
+    fn credit(&mut self, booking: Option<&Booking>) {
+        let Some(booking) = booking else { return };
+        for member in &booking.members {
+            self.health.succeeded(&member.worker);
+        }
+    }
+
+    fn learn(&mut self, now: Duration, job: JobId) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        let Some(booking) = state.booking() else {
+            return;
+        };
+        let header = &state.header;
+        self.learner.add(
+            &header.workspace,
+            &header.service,
+            &header.shape,
+            state.job.as_ref().and_then(|j| j.declared),
+            now.saturating_sub(booking.placed),
+        );
+    }
+
+    /// Some part ran and the gang failed.
+    fn failed(
+        &mut self,
+        now: Duration,
+        job: JobId,
+        kind: Kind,
+        why: String,
+        culprit: Option<String>,
+    ) {
+        if let Some(worker) = culprit {
+            self.blame(now, job, &worker);
+        }
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        state.failures += 1;
+        let header = &state.header;
+        let policy = self.tree.effective(&header.workspace, &header.service);
+        let attempts = policy.map_or(1, |p| p.attempts);
+        let again = state.header.repeatable
+            && state.job.is_some()
+            && state.cancelled.is_none();
+        if !again {
+            let kind = state.cancelled.unwrap_or(kind);
+            self.end(now, job, Outcome::Failed(kind, why), None);
+        } else if state.failures >= attempts {
+            let kind = Kind::TooManyAttempts;
+            self.end(now, job, Outcome::Failed(kind, why), None);
+        } else {
+            self.requeue(now, job, Duration::ZERO);
+        }
+    }
+
+    fn blame(&mut self, now: Duration, job: JobId, worker: &str) {
+        let workers = self.connected.len();
+        if let Some(state) = self.jobs.get_mut(&job)
+            && state.excluded.len() + 1 < workers
+        {
+            state.excluded.insert(worker.to_owned());
+        }
+        let change = self.health.failed(now, worker, job, workers);
+        if change == Change::Quarantined {
+            self.note_worker(Code::WorkerQuarantined, worker);
+        }
+    }
+
+    pub(super) fn nothing_ran(
+        &mut self,
+        now: Duration,
+        job: JobId,
+        kind: Kind,
+    ) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        if let Some(kind) = state.cancelled {
+            self.end_waiting(now, job, kind);
+        } else if state.job.is_some() {
+            self.requeue(now, job, PLACE_AGAIN);
+        } else {
+            self.end_waiting(now, job, kind);
+        }
+    }
+
+    fn stopped(
+        &mut self,
+        now: Duration,
+        job: JobId,
+        kind: Kind,
+        checkpoints: Vec<Option<Vec<u8>>>,
+    ) {
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        for (rank, checkpoint) in (0..).zip(checkpoints) {
+            if let Some(bytes) = checkpoint {
+                state.checkpoints.insert(rank, bytes);
+            }
+        }
+        let again = state.cancelled.is_none()
+            && state.header.repeatable
+            && state.job.is_some();
+        if again {
+            self.requeue(now, job, Duration::ZERO);
+        } else {
+            let kind = state.cancelled.unwrap_or(kind);
+            let why = "stopped on request".to_owned();
+            self.end(now, job, Outcome::Failed(kind, why), None);
+        }
+    }
+
+    /// Puts a job back into the queue.
+    pub(super) fn requeue(
+        &mut self,
+        now: Duration,
+        job: JobId,
+        wait: Duration,
+    ) {
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if let Some(kind) = state.cancelled {
+            self.end_waiting(now, job, kind);
+            return;
+        }
+        state.phase = Phase::Queued;
+        state.not_before = now + wait;
+        self.note(Code::JobRequeued, job, "");
+        self.enqueue(now, job);
+    }
+
+    fn freed(&mut self, now: Duration, worker: &str, run: Run) {
+        if let Some(i) = self.cell.index(worker) {
+            self.cell.unbook(i, run);
+        }
+        self.changed = true;
+        let waiting: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, s)| matches!(s.phase, Phase::Reclaiming { .. }))
+            .map(|(id, _)| *id)
+            .collect();
+        for job in waiting {
+            self.check_reclaim(now, job);
+        }
+    }
+
+    fn check_reclaim(&mut self, now: Duration, job: JobId) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        if !self.reclaimed(&state.phase) {
+            return;
+        }
+        if let Some(booking) = state.booking().cloned() {
+            self.proceed(now, booking);
+        }
+    }
+
+    /// Gives holds up, with their books.
+    pub(super) fn release(&mut self, booking: &Booking) {
+        let (term, run) = (self.term, booking.run);
+        for member in &booking.members {
+            let request = AgentRequest::Release { term, run };
+            let worker = member.worker.clone();
+            self.tell_agent(&worker, request);
+        }
+        self.unbook(booking);
+    }
+
+    /// Takes a booking out of the books.
+    pub(super) fn unbook(&mut self, booking: &Booking) {
+        for member in &booking.members {
+            if let Some(i) = self.cell.index(&member.worker) {
+                self.cell.unbook(i, booking.run);
+            }
+        }
+        self.guarantees.release(booking.run);
+        self.leads.remove(&booking.run);
+        self.changed = true;
+    }
+
+    fn set_phase(&mut self, job: JobId, phase: Phase) {
+        if let Some(state) = self.jobs.get_mut(&job) {
+            state.phase = phase;
+        }
+    }
+
+    pub(super) fn tick_attempt(&mut self, now: Duration, job: JobId) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        match state.phase.clone() {
+            Phase::Reclaiming { booking, until, .. } if now >= until => {
+                self.unbook(&booking);
+                self.requeue(now, job, Duration::ZERO);
+            }
+            Phase::Holding { booking, until, .. } if now >= until => {
+                self.release(&booking);
+                self.requeue(now, job, PLACE_AGAIN);
+            }
+            Phase::Started {
+                booking,
+                lost: Some(since),
+            } => {
+                self.tick_lost(now, &booking, since);
+            }
+            Phase::Sought { dispatched, until } => {
+                let node = self.cell.node(&dispatched.lead);
+                let other = node
+                    .is_some_and(|n| n.incarnation != dispatched.incarnation);
+                let same = node
+                    .is_some_and(|n| n.incarnation == dispatched.incarnation)
+                    && self.connected.contains(&dispatched.lead);
+                if same {
+                    self.ask_lead(job, &dispatched);
+                } else if other || now >= until {
+                    let outcome = Outcome::Unknown(Kind::OutcomeLost);
+                    self.end(now, job, outcome, None);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The lead that a record names is here but reported nothing of the
+    /// attempt when the books were rebuilt. Asked to end it, it either has
+    /// its ending or refuses it for good: both are the truth.
+    fn ask_lead(
+        &mut self,
+        job: JobId,
+        dispatched: &crate::message::Dispatched,
+    ) {
+        let request = AgentRequest::Cancel {
+            term: self.term,
+            run: Run {
+                job,
+                attempt: dispatched.attempt,
+            },
+            why: Kind::OutcomeLost,
+            window: Duration::ZERO,
+        };
+        let lead = dispatched.lead.clone();
+        self.tell_agent(&lead, request);
+    }
+
+    fn tick_lost(
+        &mut self,
+        now: Duration,
+        booking: &Booking,
+        since: Duration,
+    ) {
+        let job = booking.run.job;
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        let repeatable = state.header.repeatable;
+        let limit = if repeatable {
+            LEAD_LOST_AFTER
+        } else {
+            UNKNOWN_AFTER
+        };
+        if now >= since + limit {
+            self.lose(now, booking);
+        }
+    }
+
+    /// The lead's word can't be had, or its incarnation is gone.
+    pub(super) fn lose(&mut self, now: Duration, booking: &Booking) {
+        let job = booking.run.job;
+        // What other members still run is in their agents' reports, and
+        // leaves the books as they say; the lead's share goes with it.
+        self.guarantees.release(booking.run);
+        self.leads.remove(&booking.run);
+        if let Some(lead) = booking.lead()
+            && let Some(i) = self.cell.index(&lead.worker)
+        {
+            self.cell.unbook(i, booking.run);
+        }
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        if state.header.repeatable {
+            let why = "the lead's worker was lost".to_owned();
+            self.failed(now, job, Kind::WorkerLost, why, None);
+        } else {
+            let outcome = Outcome::Unknown(Kind::OutcomeLost);
+            self.end(now, job, outcome, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/coordinator/guarantee.rs
@@ -0,0 +1,367 @@
+//! The shapes that workspaces can always claim.
+//!
+//! Guaranteed shapes are not pinned to workers. Instead, one rule is kept
+//! at every grant: all idle guaranteed shapes still pack into what is left
+//! when borrowed work is taken away. A grant that would break the rule is
+//! either borrowed, and so reclaimable, or has to wait. A packing is found
+//! by first fit, largest first; where it misses one that exists, a grant
+//! becomes borrowed that need not be, and no promise is broken.
+
+use std::collections::BTreeMap;
+
+use figrill_state::{
+    job::{Adjacency, Shape},
+    settings::Tree,
+    worker::Capacity,
+};
+
+use crate::message::Run;
+
+use super::cell::{Cell, View};
+
+/// One guaranteed shape of one workspace.
+#[derive(Clone, Debug)]
+struct Instance {
+    workspace: String,
+    adjacency: Adjacency,
+    size: u32,
+    idle: Vec<u32>,
+}
+
+/// What a run takes of a guarantee.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Claim {
+    takes: Vec<Take>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Take {
+    instance: usize,
+    block: usize,
+    accelerators: u32,
+}
+
+/// How many accelerators of idle guarantees a packing serves.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Packed(pub u32);
+
+/// A shape that does not pack.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Shortfall {
+    /// The workspace.
+    pub workspace: String,
+    /// Its shape, as parts and accelerators for each.
+    pub shape: (u32, u32),
+    /// Accelerators that are missing.
+    pub accelerators: u32,
+}
+
+/// All guarantees of a cell and the runs that have claimed them.
+#[derive(Debug, Default)]
+pub struct Guarantees {
+    instances: Vec<Instance>,
+    claims: BTreeMap<Run, Claim>,
+}
+
+impl Guarantees {
+    /// The guarantees of a tree, with nothing claimed.
+    #[must_use]
+    pub fn new(tree: &Tree) -> Self {
+        let mut instances = Vec::new();
+        for (name, workspace) in tree.workspaces() {
+            for shape in &workspace.guarantee {
+                instances.push(Instance {
+                    workspace: name.to_owned(),
+                    adjacency: if shape.parts == 1 {
+                        Adjacency::Worker
+                    } else {
+                        shape.adjacency
+                    },
+                    size: shape.accelerators,
+                    idle: block_sizes(shape),
+                });
+            }
+        }
+        Self {
+            instances,
+            claims: BTreeMap::new(),
+        }
+    }
+
+    /// Finds idle guarantee of a workspace for a shape that takes
+    /// `each` accelerators a part.
+    #[must_use]
+    pub fn find(
+        &self,
+        workspace: &str,
+        shape: &Shape,
+        each: u32,
+    ) -> Option<Claim> {
+        let own = |(i, instance): (usize, &Instance)| {
+            (instance.workspace == workspace).then_some(i)
+        };
+        let own: Vec<usize> =
+            self.instances.iter().enumerate().filter_map(own).collect();
+        let single = own
+            .iter()
+            .filter(|i| self.instances[**i].adjacency >= shape.adjacency)
+            .filter_map(|i| {
+                let claim = self.take_from(&[*i], shape.parts, each)?;
+                let idle: u32 = self.instances[*i].idle.iter().sum();
+                Some((idle, claim))
+            })
+            .min_by_key(|(idle, _)| *idle)
+            .map(|(_, claim)| claim);
+        if single.is_some() || shape.adjacency != Adjacency::None {
+            return single;
+        }
+        self.take_from(&own, shape.parts, each)
+    }
+
+    fn take_from(
+        &self,
+        instances: &[usize],
+        parts: u32,
+        each: u32,
+    ) -> Option<Claim> {
+        let each = each.max(1);
+        let mut rest = parts;
+        let mut list = Vec::new();
+        for &instance in instances {
+            let idle = &self.instances[instance].idle;
+            for (block, left) in idle.iter().enumerate() {
+                let taken = (left / each).min(rest);
+                if taken > 0 {
+                    let accelerators = taken * each;
+                    list.push(Take {
+                        instance,
+                        block,
+                        accelerators,
+                    });
+                    rest -= taken;
+                }
+            }
+        }
+        (rest == 0).then_some(Claim { takes: list })
+    }
+
+    /// Takes a claim out of the idle guarantee.
+    pub fn claim(&mut self, run: Run, claim: Claim) {
+        self.apply(&claim, |idle, n| *idle = idle.saturating_sub(n));
+        self.claims.insert(run, claim);
+    }
+
+    /// Gives a run's claim back.
+    pub fn release(&mut self, run: Run) {
+        if let Some(claim) = self.claims.remove(&run) {
+            self.apply(&claim, |idle, n| *idle += n);
+        }
+    }
+
+    /// Whether a run has a claim.
+    #[must_use]
+    pub fn holds(&self, run: Run) -> bool {
+        self.claims.contains_key(&run)
+    }
+
+    fn apply(&mut self, claim: &Claim, change: impl Fn(&mut u32, u32)) {
+        for take in &claim.takes {
+            let instance = &mut self.instances[take.instance];
+            change(&mut instance.idle[take.block], take.accelerators);
+        }
+    }
+
+    /// How much idle guarantee packs into the cell around the grants that
+    /// can't be reclaimed, once `more` is granted and `claim` is taken.
+    #[must_use]
+    pub fn pack(
+        &self,
+        cell: &Cell,
+        more: &[(usize, Capacity)],
+        claim: Option<&Claim>,
+    ) -> Packed {
+        let mut rooms = rooms(cell, View::Firm);
+        for (i, need) in more {
+            rooms[*i] = rooms[*i].minus(*need);
+        }
+        let served = self.serve(cell, &mut rooms, claim);
+        Packed(served.iter().map(|s| s.1).sum())
+    }
+
+    /// The shapes that would not pack into the empty cell.
+    #[must_use]
+    pub fn shortfalls(&self, cell: &Cell) -> Vec<Shortfall> {
+        let mut rooms = rooms(cell, View::Empty);
+        let served = self.serve(cell, &mut rooms, None);
+        served
+            .into_iter()
+            .filter(|(_, packed, wanted)| packed < wanted)
+            .map(|(i, packed, wanted)| {
+                let instance = &self.instances[i];
+                let parts = u32::try_from(instance.idle.len());
+                Shortfall {
+                    workspace: instance.workspace.clone(),
+                    shape: (parts.unwrap_or(u32::MAX), instance.size),
+                    accelerators: wanted - packed,
+                }
+            })
+            .collect()
+    }
+
+    /// Packs all idle shapes; for each its index, what was packed and what
+    /// was wanted. Largest blocks go first, then the largest shapes, then
+    /// by workspace: what a lost worker takes away is taken from the last
+    /// in this order.
+    fn serve(
+        &self,
+        cell: &Cell,
+        rooms: &mut [Capacity],
+        claim: Option<&Claim>,
+    ) -> Vec<(usize, u32, u32)> {
+        let mut wanted: Vec<(usize, Vec<u32>)> = self
+            .instances
+            .iter()
+            .enumerate()
+            .map(|(i, instance)| (i, idle_after(i, instance, claim)))
+            .filter(|(_, blocks)| !blocks.is_empty())
+            .collect();
+        wanted.sort_by_key(|(i, blocks)| {
+            let largest = blocks.first().copied().unwrap_or(0);
+            let total: u32 = blocks.iter().sum();
+            std::cmp::Reverse((largest, total, std::cmp::Reverse(*i)))
+        });
+        wanted
+            .into_iter()
+            .map(|(i, blocks)| {
+                let total: u32 = blocks.iter().sum();
+                let adjacency = self.instances[i].adjacency;
+                let packed = pack_shape(cell, adjacency, &blocks, rooms);
+                (i, if packed { total } else { 0 }, total)
+            })
+            .collect()
+    }
+
+    /// Accelerators of a workspace's guarantee that are idle.
+    #[must_use]
+    pub fn idle(&self, workspace: &str) -> u32 {
+        let own = self.instances.iter().filter(|i| i.workspace == workspace);
+        own.flat_map(|i| i.idle.iter()).sum()
+    }
+}
+
+fn block_sizes(shape: &Shape) -> Vec<u32> {
+    (0..shape.parts).map(|_| shape.accelerators).collect()
+}
+
+/// The idle blocks of an instance once `claim` is taken, largest first.
+fn idle_after(
+    i: usize,
+    instance: &Instance,
+    claim: Option<&Claim>,
+) -> Vec<u32> {
+    let mut blocks = instance.idle.clone();
+    let takes = claim.map_or(&[][..], |c| c.takes.as_slice());
+    for take in takes.iter().filter(|t| t.instance == i) {
+        let block = &mut blocks[take.block];
+        *block = block.saturating_sub(take.accelerators);
+    }
+    blocks.retain(|left| *left > 0);
+    blocks.sort_unstable_by(|a, b| b.cmp(a));
+    blocks
+}
+
+fn rooms(cell: &Cell, view: View) -> Vec<Capacity> {
+    cell.nodes().iter().map(|n| n.room(view)).collect()
+}
+
+/// Packs the blocks of one shape into the tightest group that holds them;
+/// leaves the rooms as they were if none does.
+fn pack_shape(
+    cell: &Cell,
+    adjacency: Adjacency,
+    blocks: &[u32],
+    rooms: &mut [Capacity],
+) -> bool {
+    let free = |group: &Vec<usize>| -> u32 {
+        group.iter().map(|i| rooms[*i].accelerators).sum()
+    };
+    let total: u32 = blocks.iter().sum();
+    let mut groups: Vec<(u32, &Vec<usize>)> = cell
+        .groups(adjacency)
+        .iter()
+        .map(|group| (free(group), group))
+        .filter(|(free, _)| *free >= total)
+        .collect();
+    groups.sort_by_key(|(free, _)| *free);
+    for (_, group) in groups {
+        if pack_blocks(cell, group, blocks, rooms) {
+            return true;
+        }
+    }
+    false
+}
+
+fn pack_blocks(
+    cell: &Cell,
+    group: &[usize],
+    blocks: &[u32],
+    rooms: &mut [Capacity],
+) -> bool {
+    let mut taken: Vec<(usize, Capacity)> = Vec::new();
+    for block in blocks {
+        let best = group
+            .iter()
+            .map(|&i| (i, block_need(cell.nodes()[i].nominal, *block)))
+            .filter(|(i, need)| rooms[*i].fits(*need))
+            .min_by_key(|(i, _)| rooms[*i].accelerators);
+        let Some((i, need)) = best else {
+            for (i, need) in taken {
+                rooms[i] = rooms[i].plus(need);
+            }
+            return false;
+        };
+        rooms[i] = rooms[i].minus(need);
+        taken.push((i, need));
+    }
+    true
+}
+
+/// A block's share of a worker: with its accelerators go as many of the
+/// slots and as much of the memory.
+fn block_need(worker: Capacity, accelerators: u32) -> Capacity {
+    let share = |all: u32| {
+        let share = u64::from(all) * u64::from(accelerators);
+        let share = share / u64::from(worker.accelerators.max(1));
+        u32::try_from(share).unwrap_or(u32::MAX)
+    };
+    Capacity {
+        accelerators,
+        slots: share(worker.slots),
+        memory_mib: share(worker.memory_mib),
+    }
+}
+
+/// Accelerators whose share of a worker covers one part of `shape`, also in
+/// slots and memory.
+#[must_use]
+pub fn accelerators_each(worker: Capacity, shape: &Shape) -> u32 {
+    let cover = |wanted: u32, all: u32| {
+        if all == 0 || wanted == 0 {
+            return 0;
+        }
+        let wanted = u64::from(wanted) * u64::from(worker.accelerators);
+        u32::try_from(wanted.div_ceil(u64::from(all))).unwrap_or(u32::MAX)
+    };
+    shape
+        .accelerators
+        .max(cover(1, worker.slots))
+        .max(cover(shape.memory_mib, worker.memory_mib))
+}
+
+impl Claim {
+    /// Accelerators that the claim takes out of idle guarantees.
+    #[must_use]
+    pub fn accelerators(&self) -> u32 {
+        self.takes.iter().map(|take| take.accelerators).sum()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/coordinator/job_state.rs
@@ -0,0 +1,176 @@
+//! A job in the coordinator's books.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use figrill_state::{
+    error::Kind,
+    job::{Job, Outcome},
+};
+
+use crate::message::{Band, Dispatched, Header, Member, Run};
+
+use super::placement::Placement;
+
+/// An attempt with its place.
+#[derive(Clone, Debug)]
+pub struct Booking {
+    /// The attempt.
+    pub run: Run,
+    /// The gang; the first member is the lead.
+    pub members: Vec<Member>,
+    /// Whose capacity it takes.
+    pub band: Band,
+    /// When it was placed.
+    pub placed: Duration,
+}
+
+impl Booking {
+    /// The worker that leads the gang.
+    #[must_use]
+    pub fn lead(&self) -> Option<&Member> {
+        self.members.first()
+    }
+
+    /// Whether the whole gang is on one worker.
+    #[must_use]
+    pub fn is_solo(&self) -> bool {
+        self.members.len() == 1
+    }
+}
+
+/// How far a job has come.
+#[derive(Clone, Debug)]
+pub enum Phase {
+    /// It waits for capacity.
+    Queued,
+    /// Its place is booked, and borrowers are being moved out of it.
+    Reclaiming {
+        /// The place.
+        booking: Booking,
+        /// Attempts that must end first.
+        victims: BTreeSet<Run>,
+        /// When to look for another place.
+        until: Duration,
+    },
+    /// Its record, at this version, is being marked as dispatched.
+    Marking(Booking, u64),
+    /// Agents are asked to hold.
+    Holding {
+        /// The place.
+        booking: Booking,
+        /// Workers that have not answered.
+        waiting: BTreeSet<String>,
+        /// When to give the holds up.
+        until: Duration,
+    },
+    /// It may have started: only its lead knows.
+    Started {
+        /// The place.
+        booking: Booking,
+        /// Since when its lead is not connected.
+        lost: Option<Duration>,
+    },
+    /// A record says that it was dispatched, but no agent has reported it.
+    Sought {
+        /// Where it was dispatched.
+        dispatched: Dispatched,
+        /// When it counts as lost.
+        until: Duration,
+    },
+    /// Its outcome is being written to its record.
+    Saving {
+        /// The outcome.
+        outcome: Outcome,
+        /// The attempt that its lead keeps until then.
+        run: Option<Run>,
+        /// When to write again.
+        again: Duration,
+    },
+    /// It has ended.
+    Ended {
+        /// The outcome.
+        outcome: Outcome,
+        /// The attempt that its lead keeps until an entry has the outcome.
+        run: Option<Run>,
+        /// When.
+        at: Duration,
+    },
+}
+
+/// A job and all that is known of it.
+#[derive(Clone, Debug)]
+pub struct JobState {
+    /// The job with its inputs, if an entry has submitted it here.
+    pub job: Option<Job>,
+    /// What is known of it in any case.
+    pub header: Header,
+    /// When its caller sent it.
+    pub submitted: Duration,
+    /// The incarnations of entries that want to hear of it.
+    pub watchers: BTreeSet<u64>,
+    /// Attempts that may have run and failed.
+    pub failures: u32,
+    /// Workers on which it failed.
+    pub excluded: BTreeSet<String>,
+    /// What stopped attempts left, by rank.
+    pub checkpoints: BTreeMap<u32, Vec<u8>>,
+    /// Why it is to end, if a caller cancelled it.
+    pub cancelled: Option<Kind>,
+    /// Before this it is not placed.
+    pub not_before: Duration,
+    /// How far it has come.
+    pub phase: Phase,
+}
+
+impl JobState {
+    /// The booking of its attempt, if it has one.
+    #[must_use]
+    pub const fn booking(&self) -> Option<&Booking> {
+        match &self.phase {
+            Phase::Reclaiming { booking, .. }
+            | Phase::Marking(booking, _)
+            | Phase::Holding { booking, .. }
+            | Phase::Started { booking, .. } => Some(booking),
+            _ => None,
+        }
+    }
+
+    /// Whether an attempt of it may be running.
+    #[must_use]
+    pub const fn is_started(&self) -> bool {
+        matches!(self.phase, Phase::Started { .. } | Phase::Sought { .. })
+    }
+
+    /// Whether it waits for capacity.
+    #[must_use]
+    pub const fn is_queued(&self) -> bool {
+        matches!(self.phase, Phase::Queued)
+    }
+
+    /// The outcome, once there is one.
+    #[must_use]
+    pub const fn outcome(&self) -> Option<&Outcome> {
+        match &self.phase {
+            Phase::Saving { outcome, .. } | Phase::Ended { outcome, .. } => {
+                Some(outcome)
+            }
+            _ => None,
+        }
+    }
+}
+
+/// A chosen place, before it is booked.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// Where the parts go.
+    pub placement: Placement,
+    /// Whose capacity they take.
+    pub band: Band,
+    /// The claim on the workspace's guarantee, if the band is its own.
+    pub claim: Option<super::guarantee::Claim>,
+    /// Borrowers that must leave first.
+    pub victims: BTreeSet<Run>,
+}
--- /dev/null
+++ b/crates/coordination/src/coordinator/jobs.rs
@@ -0,0 +1,476 @@
+//! Jobs from an entry's submission to their outcome.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use figrill_state::{
+    error::Kind,
+    event::Code,
+    job::{Job, JobId, Outcome},
+};
+
+use crate::message::{
+    AgentRequest, Band, Dispatched, Header, JobReport, JobRequest, Run,
+    Standing,
+};
+
+use super::{
+    Action, Coordinator, UNKNOWN_AFTER,
+    guarantee::{Claim, accelerators_each},
+    job_state::{JobState, Phase},
+    placement,
+    queue::{Lane, Rank},
+};
+
+/// Time between two tries to write an outcome to the store.
+const SAVE_AGAIN: Duration = Duration::from_secs(2);
+
+/// How long a waiting long job stays behind short ones.
+const AGED_AFTER: Duration = Duration::from_mins(30);
+
+impl Coordinator {
+    pub(super) fn entry(
+        &mut self,
+        now: Duration,
+        from: u64,
+        request: JobRequest,
+    ) {
+        match request {
+            JobRequest::Submit { job, age } => {
+                self.submit(now, from, *job, age);
+            }
+            JobRequest::Follow {
+                job,
+                dispatched,
+                scope,
+            } => {
+                let dispatched = dispatched
+                    .filter(|_| self.in_scope(job, scope.as_deref()));
+                self.follow(now, from, job, dispatched, scope.as_deref());
+            }
+            JobRequest::Cancel { job, scope } => {
+                if self.in_scope(job, scope.as_deref()) {
+                    self.cancel(now, job);
+                }
+            }
+            JobRequest::Ack { job } => {
+                if let Some(state) = self.jobs.get_mut(&job) {
+                    state.watchers.remove(&from);
+                }
+                self.acknowledge(job);
+            }
+        }
+    }
+
+    fn submit(&mut self, now: Duration, from: u64, job: Job, age: Duration) {
+        let id = job.id;
+        if let Some(state) = self.jobs.get_mut(&id) {
+            state.watchers.insert(from);
+            state.header.recorded |= job.record.is_some();
+            match &mut state.job {
+                Some(known) => known.record = known.record.max(job.record),
+                empty => *empty = Some(job),
+            }
+            self.tell(id, from);
+            return;
+        }
+        let header = Header {
+            workspace: job.workspace.clone(),
+            service: job.service.clone(),
+            shape: job.shape,
+            class: job.class,
+            repeatable: job.repeatable,
+            recorded: job.record.is_some(),
+            band: Band::Unpromised,
+        };
+        let state = JobState {
+            job: Some(job),
+            header,
+            submitted: now.saturating_sub(age),
+            watchers: BTreeSet::from([from]),
+            failures: 0,
+            excluded: BTreeSet::new(),
+            checkpoints: BTreeMap::new(),
+            cancelled: None,
+            not_before: Duration::ZERO,
+            phase: Phase::Queued,
+        };
+        let refusal = self.refusal(now, &state);
+        self.jobs.insert(id, state);
+        if let Some(kind) = refusal {
+            self.note(Code::JobRefused, id, &format!("why={kind}"));
+            self.end_not_run(now, id, kind);
+            return;
+        }
+        self.enqueue(now, id);
+        self.note(Code::JobQueued, id, "");
+        self.tell(id, from);
+    }
+
+    /// Why a new job can't be taken, if so: it has not run, nor will it.
+    fn refusal(&self, now: Duration, state: &JobState) -> Option<Kind> {
+        let header = &state.header;
+        let policy = self.tree.effective(&header.workspace, &header.service);
+        let Some(policy) = policy else {
+            return Some(Kind::UnknownWorkspace);
+        };
+        let limit = usize::try_from(policy.queue_limit).unwrap_or(usize::MAX);
+        if self.queue.len_of(&header.workspace) >= limit {
+            return Some(Kind::QueueFull);
+        }
+        // Before the workers have reported, nothing is known of what fits.
+        let settled = now >= self.rebuild_until;
+        let workers = !self.cell.nodes().is_empty();
+        if settled
+            && workers
+            && !placement::fits_empty(&self.cell, &header.shape, |_| true)
+        {
+            return Some(Kind::NeverFits);
+        }
+        let job = state.job.as_ref()?;
+        let late = !self.can_meet_deadline(now, state)
+            || !self.queue_lets_finish(state, job);
+        late.then_some(Kind::DeadlineUnreachable)
+    }
+
+    /// Puts a job into the queue by what is known of it now.
+    pub(super) fn enqueue(&mut self, now: Duration, id: JobId) {
+        let Some(state) = self.jobs.get(&id) else {
+            return;
+        };
+        let deadline = state.job.as_ref().and_then(|j| j.deadline);
+        let aged = now.saturating_sub(state.submitted) >= AGED_AFTER;
+        let rank = Rank {
+            class: state.header.class,
+            lane: if aged { Lane::Short } else { self.lane(state) },
+            deadline: deadline.map_or(Duration::MAX, |d| state.submitted + d),
+            submitted: state.submitted,
+            job: id,
+        };
+        let workspace = state.header.workspace.clone();
+        self.queue.push(&workspace, rank);
+        self.changed = true;
+    }
+
+    /// Whether a caller that may see one workspace may see a job. Of a job
+    /// known by its record alone, the entry has checked that.
+    fn in_scope(&self, job: JobId, scope: Option<&str>) -> bool {
+        let Some(scope) = scope else { return true };
+        self.jobs.get(&job).is_none_or(|state| {
+            let workspace = &state.header.workspace;
+            workspace.is_empty() || workspace == scope
+        })
+    }
+
+    fn follow(
+        &mut self,
+        now: Duration,
+        from: u64,
+        job: JobId,
+        dispatched: Option<Dispatched>,
+        scope: Option<&str>,
+    ) {
+        let in_scope = self.in_scope(job, scope);
+        if in_scope && let Some(state) = self.jobs.get_mut(&job) {
+            state.watchers.insert(from);
+            self.tell(job, from);
+            return;
+        }
+        let Some(dispatched) = dispatched else {
+            let standing = Standing::Unheard;
+            let report = JobReport::Stands { job, standing };
+            self.out.push(Action::ToEntry { to: from, report });
+            return;
+        };
+        self.seek(now, from, job, dispatched);
+    }
+
+    /// Tells an entry how a job stands.
+    fn tell(&mut self, job: JobId, to: u64) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        let report = match state.outcome() {
+            Some(outcome) => JobReport::Ended {
+                job,
+                outcome: outcome.clone(),
+            },
+            None if state.is_started() => JobReport::Stands {
+                job,
+                standing: Standing::Running,
+            },
+            None => JobReport::Stands {
+                job,
+                standing: Standing::Queued,
+            },
+        };
+        self.out.push(Action::ToEntry { to, report });
+    }
+
+    pub(super) fn tell_watchers(&mut self, job: JobId) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        for to in state.watchers.clone() {
+            self.tell(job, to);
+        }
+    }
+
+    fn cancel(&mut self, now: Duration, job: JobId) {
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if state.outcome().is_some() || state.cancelled.is_some() {
+            return;
+        }
+        state.cancelled = Some(Kind::Cancelled);
+        self.note(Code::JobCancelled, job, "");
+        self.end_attempt(now, job, Kind::Cancelled, Duration::ZERO);
+    }
+
+    /// Ends whatever a job's attempt has come to; one that was only placed
+    /// ends at once, one that may have started ends by its lead's word.
+    pub(super) fn end_attempt(
+        &mut self,
+        now: Duration,
+        job: JobId,
+        why: Kind,
+        window: Duration,
+    ) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        match state.phase.clone() {
+            Phase::Queued => {
+                self.queue.remove(job);
+                self.end_not_run(now, job, why);
+            }
+            Phase::Reclaiming { booking, .. } => {
+                self.unbook(&booking);
+                self.end_not_run(now, job, why);
+            }
+            Phase::Holding { booking, .. } => {
+                self.release(&booking);
+                self.end_not_run(now, job, why);
+            }
+            Phase::Started { booking, .. } => {
+                let term = self.term;
+                let run = booking.run;
+                if let Some(lead) = booking.lead() {
+                    let request = AgentRequest::Cancel {
+                        term,
+                        run,
+                        why,
+                        window,
+                    };
+                    let worker = lead.worker.clone();
+                    self.tell_agent(&worker, request);
+                }
+            }
+            // A marked record is settled once the store has answered.
+            Phase::Marking(..)
+            | Phase::Sought { .. }
+            | Phase::Saving { .. }
+            | Phase::Ended { .. } => {}
+        }
+    }
+
+    /// Gives a job its outcome. What has a record is written there before
+    /// the lead forgets its ending.
+    pub(super) fn end(
+        &mut self,
+        now: Duration,
+        job: JobId,
+        outcome: Outcome,
+        run: Option<Run>,
+    ) {
+        let detail = format!("outcome={}", outcome.name());
+        self.note(Code::JobEnded, job, &detail);
+        self.queue.remove(job);
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        if state.header.recorded {
+            let again = now + SAVE_AGAIN;
+            let outcome_saved = outcome.clone();
+            state.phase = Phase::Saving {
+                outcome,
+                run,
+                again,
+            };
+            self.out.push(Action::Save {
+                job,
+                outcome: outcome_saved,
+            });
+        } else {
+            state.phase = Phase::Ended {
+                outcome,
+                run,
+                at: now,
+            };
+            self.ended.push_back(job);
+        }
+        self.tell_watchers(job);
+        self.changed = true;
+    }
+
+    pub(super) fn saved(&mut self, now: Duration, job: JobId, ok: bool) {
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let Phase::Saving {
+            outcome,
+            run,
+            again,
+        } = &mut state.phase
+        else {
+            return;
+        };
+        if !ok {
+            *again = now + SAVE_AGAIN;
+            return;
+        }
+        let (outcome, run) = (outcome.clone(), *run);
+        state.phase = Phase::Ended {
+            outcome,
+            run,
+            at: now,
+        };
+        self.ended.push_back(job);
+        self.acknowledge(job);
+    }
+
+    /// Lets the lead forget an ending once every entry that asked has the
+    /// outcome and the record, if any, is written.
+    pub(super) fn acknowledge(&mut self, job: JobId) {
+        let Some(state) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let Phase::Ended { run, .. } = &mut state.phase else {
+            return;
+        };
+        if !state.watchers.is_empty() {
+            return;
+        }
+        if let Some(run) = run.take() {
+            self.ack_everywhere(run);
+        }
+    }
+
+    /// Only the lead keeps an ending, but which worker led is forgotten by
+    /// now if the books were rebuilt; there are few workers in a cell.
+    pub(super) fn ack_everywhere(&mut self, run: Run) {
+        let lead = self.leads.remove(&run);
+        let workers: Vec<String> = match lead {
+            Some(worker) => vec![worker],
+            None => self.connected.iter().cloned().collect(),
+        };
+        for worker in workers {
+            self.tell_agent(&worker, AgentRequest::Ack { run });
+        }
+    }
+
+    pub(super) fn claim_of(&self, state: &JobState) -> Option<Claim> {
+        let header = &state.header;
+        let nodes = self.cell.nodes().iter();
+        let known = nodes.map(|n| n.nominal).find(|c| c.accelerators > 0);
+        let typical = known.unwrap_or_default();
+        let each = accelerators_each(typical, &header.shape);
+        self.guarantees.find(&header.workspace, &header.shape, each)
+    }
+
+    pub(super) fn tick_job(&mut self, now: Duration, job: JobId) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        match &state.phase {
+            Phase::Queued => self.tick_queued(now, job),
+            Phase::Saving { outcome, again, .. } if now >= *again => {
+                let outcome = outcome.clone();
+                self.out.push(Action::Save { job, outcome });
+                self.saved(now, job, false);
+            }
+            Phase::Saving { .. } | Phase::Ended { .. } => {}
+            _ => self.tick_attempt(now, job),
+        }
+    }
+
+    fn tick_queued(&mut self, now: Duration, job: JobId) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        let header = &state.header;
+        let policy = self.tree.effective(&header.workspace, &header.service);
+        let waited = now.saturating_sub(state.submitted);
+        let limit = policy.map_or(Duration::MAX, |p| p.queue_wait);
+        let ran = state.failures > 0 && !state.header.repeatable;
+        if waited >= limit && !ran {
+            self.end_waiting(now, job, Kind::QueueTimeout);
+        } else if !self.can_meet_deadline(now, state) {
+            self.end_waiting(now, job, Kind::DeadlineUnreachable);
+        } else if waited >= AGED_AFTER {
+            self.enqueue(now, job);
+        }
+    }
+
+    /// Ends a job that waits. If an earlier attempt ran, "not run" would
+    /// not be true of it.
+    pub(super) fn end_waiting(
+        &mut self,
+        now: Duration,
+        job: JobId,
+        kind: Kind,
+    ) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        if state.failures == 0 {
+            self.end_not_run(now, job, kind);
+        } else {
+            let why = "no further attempt could start".to_owned();
+            self.end(now, job, Outcome::Failed(kind, why), None);
+        }
+    }
+
+    /// Looks for a job of which only its record is known.
+    fn seek(
+        &mut self,
+        now: Duration,
+        from: u64,
+        job: JobId,
+        dispatched: Dispatched,
+    ) {
+        let header = Header {
+            workspace: String::new(),
+            service: String::new(),
+            shape: figrill_state::job::Shape {
+                parts: 1,
+                accelerators: 0,
+                memory_mib: 0,
+                adjacency: figrill_state::job::Adjacency::None,
+            },
+            class: figrill_state::job::Class::Normal,
+            repeatable: false,
+            recorded: true,
+            band: Band::Unpromised,
+        };
+        let until = now + UNKNOWN_AFTER;
+        let state = JobState {
+            job: None,
+            header,
+            submitted: now,
+            watchers: BTreeSet::from([from]),
+            failures: 0,
+            excluded: BTreeSet::new(),
+            checkpoints: BTreeMap::new(),
+            cancelled: None,
+            not_before: Duration::ZERO,
+            phase: Phase::Sought { dispatched, until },
+        };
+        self.jobs.insert(job, state);
+        self.tell(job, from);
+        self.tick_attempt(now, job);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/coordinator/placement.rs
@@ -0,0 +1,182 @@
+//! Where the parts of a gang go.
+//!
+//! The tightest group that holds the gang is preferred, then the one that
+//! it fills best, so that large adjacent blocks stay whole.
+
+use figrill_state::{
+    job::{Adjacency, Shape},
+    worker::Capacity,
+};
+
+use super::cell::{Cell, View};
+
+/// The most candidates that are weighed for one gang.
+const CANDIDATES_MAX: usize = 12;
+
+/// Parts on workers, by the workers' index.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Placement {
+    /// Worker and number of parts.
+    pub shares: Vec<(usize, u32)>,
+}
+
+impl Placement {
+    /// What each share takes.
+    pub fn needs(
+        &self,
+        shape: &Shape,
+    ) -> impl Iterator<Item = (usize, Capacity)> {
+        let shape = *shape;
+        self.shares
+            .iter()
+            .map(move |(i, parts)| (*i, shape.need(*parts)))
+    }
+}
+
+/// How many parts of `shape` fit into `room`.
+#[must_use]
+pub fn fit(room: Capacity, shape: &Shape) -> u32 {
+    let by = |have: u32, each: u32| have.checked_div(each).unwrap_or(u32::MAX);
+    by(room.accelerators, shape.accelerators)
+        .min(room.slots)
+        .min(by(room.memory_mib, shape.memory_mib))
+}
+
+/// A candidate with its order: smaller is better.
+struct Scored {
+    score: (u8, u32, u32),
+    placement: Placement,
+}
+
+/// Placements of `shape` in the given view, best first, on workers that
+/// `allowed` admits.
+#[must_use]
+pub fn candidates(
+    cell: &Cell,
+    shape: &Shape,
+    view: View,
+    allowed: impl Fn(usize) -> bool,
+) -> Vec<Placement> {
+    let room = |i: usize| {
+        if allowed(i) {
+            cell.nodes()[i].room(view)
+        } else {
+            Capacity::default()
+        }
+    };
+    let mut found: Vec<Scored> = Vec::new();
+    for (level, adjacency) in (0..).zip(levels(shape)) {
+        for group in cell.groups(adjacency) {
+            if let Some(placement) = fill(group, shape, &room) {
+                let score = score(level, group, &placement, shape, &room);
+                found.push(Scored { score, placement });
+            }
+        }
+        if found.len() >= CANDIDATES_MAX {
+            break;
+        }
+    }
+    found.sort_by_key(|s| s.score);
+    found.truncate(CANDIDATES_MAX);
+    found.into_iter().map(|s| s.placement).collect()
+}
+
+/// Whether `shape` fits the workers that `allowed` admits if they were
+/// empty.
+#[must_use]
+pub fn fits_empty(
+    cell: &Cell,
+    shape: &Shape,
+    allowed: impl Fn(usize) -> bool,
+) -> bool {
+    let room = |i: usize| {
+        if allowed(i) {
+            cell.nodes()[i].room(View::Empty)
+        } else {
+            Capacity::default()
+        }
+    };
+    cell.groups(shape.adjacency)
+        .iter()
+        .any(|group| fill(group, shape, &room).is_some())
+}
+
+/// The group levels to try, tightest first, down to the one asked for.
+fn levels(shape: &Shape) -> impl Iterator<Item = Adjacency> {
+    let wanted = shape.adjacency;
+    let single = shape.parts == 1;
+    [
+        Adjacency::Worker,
+        Adjacency::Rack,
+        Adjacency::FailureDomain,
+        Adjacency::None,
+    ]
+    .into_iter()
+    .filter(move |level| {
+        if single {
+            *level == Adjacency::Worker
+        } else {
+            *level >= wanted
+        }
+    })
+}
+
+fn fill(
+    group: &[usize],
+    shape: &Shape,
+    room: &impl Fn(usize) -> Capacity,
+) -> Option<Placement> {
+    let mut fits: Vec<(u32, u32, usize)> = group
+        .iter()
+        .map(|&i| (fit(room(i), shape), room(i).accelerators, i))
+        .filter(|(parts, ..)| *parts > 0)
+        .collect();
+    let total: u64 = fits.iter().map(|(parts, ..)| u64::from(*parts)).sum();
+    if total < u64::from(shape.parts) {
+        return None;
+    }
+    // Largest first; of equals the one with the least left over.
+    fits.sort_by_key(|(parts, left, i)| {
+        (std::cmp::Reverse(*parts), *left, *i)
+    });
+    let mut shares = Vec::new();
+    let mut rest = shape.parts;
+    while rest > 0 {
+        // The tightest worker that takes all that is left, if there is one.
+        let last = fits
+            .iter()
+            .enumerate()
+            .filter(|(_, (parts, ..))| *parts >= rest)
+            .min_by_key(|(_, (parts, left, _))| (*parts, *left))
+            .map(|(at, _)| at);
+        let at = last.unwrap_or(0);
+        if at >= fits.len() {
+            return None;
+        }
+        let (parts, _, i) = fits.remove(at);
+        let taken = parts.min(rest);
+        shares.push((i, taken));
+        rest -= taken;
+    }
+    Some(Placement { shares })
+}
+
+fn score(
+    level: u8,
+    group: &[usize],
+    placement: &Placement,
+    shape: &Shape,
+    room: &impl Fn(usize) -> Capacity,
+) -> (u8, u32, u32) {
+    let left_on_workers: u32 = placement
+        .shares
+        .iter()
+        .map(|(i, parts)| {
+            let taken = parts * shape.accelerators;
+            room(*i).accelerators.saturating_sub(taken)
+        })
+        .sum();
+    let in_group: u32 = group.iter().map(|i| room(*i).accelerators).sum();
+    let left_in_group = in_group.saturating_sub(shape.total());
+    (level, left_on_workers, left_in_group)
+}
--- /dev/null
+++ b/crates/coordination/src/coordinator/queue.rs
@@ -0,0 +1,97 @@
+//! Waiting jobs: by workspace, and inside one by class, lane and deadline.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use figrill_state::job::{Class, JobId};
+
+/// Short work goes before long work of the same class.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Lane {
+    /// Work that ends soon, and work that has waited long enough.
+    Short,
+    /// Work that does not.
+    Long,
+}
+
+/// A job's place in the order of its workspace.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Rank {
+    /// Urgent work first.
+    pub class: Class,
+    /// Then short work.
+    pub lane: Lane,
+    /// Then the earliest deadline; those without one come last.
+    pub deadline: Duration,
+    /// Then the first that came.
+    pub submitted: Duration,
+    /// Then any, but always the same.
+    pub job: JobId,
+}
+
+/// The queue of one cell.
+#[derive(Debug, Default)]
+pub struct Queue {
+    workspaces: BTreeMap<String, BTreeSet<Rank>>,
+    ranks: BTreeMap<JobId, (String, Rank)>,
+}
+
+impl Queue {
+    /// Puts a job into the queue of its workspace, or moves it to a new
+    /// rank.
+    pub fn push(&mut self, workspace: &str, rank: Rank) {
+        self.remove(rank.job);
+        let queue = self.workspaces.entry(workspace.to_owned()).or_default();
+        queue.insert(rank);
+        self.ranks.insert(rank.job, (workspace.to_owned(), rank));
+    }
+
+    /// Takes a job out.
+    pub fn remove(&mut self, job: JobId) {
+        let Some((workspace, rank)) = self.ranks.remove(&job) else {
+            return;
+        };
+        if let Some(queue) = self.workspaces.get_mut(&workspace) {
+            queue.remove(&rank);
+            if queue.is_empty() {
+                self.workspaces.remove(&workspace);
+            }
+        }
+    }
+
+    /// Jobs that wait in all.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.ranks.len()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ranks.is_empty()
+    }
+
+    /// Jobs of a workspace that wait.
+    #[must_use]
+    pub fn len_of(&self, workspace: &str) -> usize {
+        self.workspaces.get(workspace).map_or(0, BTreeSet::len)
+    }
+
+    /// Each workspace's first `depth` jobs in order.
+    #[must_use]
+    pub fn heads(&self, depth: usize) -> BTreeMap<String, Vec<JobId>> {
+        let heads = |queue: &BTreeSet<Rank>| {
+            queue.iter().take(depth).map(|rank| rank.job).collect()
+        };
+        let all = self.workspaces.iter();
+        all.map(|(name, queue)| (name.clone(), heads(queue)))
+            .collect()
+    }
+
+    /// All waiting jobs with their ranks.
+    pub fn ranks(&self) -> impl Iterator<Item = &Rank> {
+        self.ranks.values().map(|(_, rank)| rank)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/entry/track.rs
@@ -0,0 +1,101 @@
+//! One job as its entry keeps track of it.
+
+use std::time::Duration;
+
+use figrill_state::job::{Job, Outcome};
+
+use crate::message::Dispatched;
+
+use super::CallId;
+
+/// What a job waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Wait {
+    /// Its record is being written before anything else.
+    Claim,
+    /// Its record is being written before its callers leave.
+    Durable,
+    /// The coordinator has it.
+    Coordinator,
+    /// Its record is to be read.
+    Record {
+        /// When.
+        at: Duration,
+    },
+}
+
+/// Who would bring a job back if this entry were gone.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Kept {
+    /// Nobody.
+    Here,
+    /// Whoever asks for it: it has a record.
+    Stored,
+    /// The other entries: they were asked to look after it.
+    Warded,
+}
+
+/// A caller that waits.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Call {
+    pub(super) call: CallId,
+    pub(super) until: Duration,
+}
+
+/// A job.
+pub(super) struct Track {
+    pub(super) workspace: String,
+    /// Until the workspace is known: the one that the caller may see.
+    pub(super) scope: Option<String>,
+    pub(super) job: Option<Job>,
+    pub(super) request: String,
+    pub(super) key: Option<String>,
+    pub(super) since: Duration,
+    pub(super) calls: Vec<Call>,
+    pub(super) wait: Wait,
+    pub(super) dispatched: Option<Dispatched>,
+    pub(super) running: bool,
+    pub(super) kept: Kept,
+    /// Whether the coordinator was asked about it without a record.
+    pub(super) asked: bool,
+    pub(super) bytes: usize,
+    pub(super) outcome: Option<Outcome>,
+    pub(super) ended: Duration,
+}
+
+impl Track {
+    pub(super) fn new(
+        now: Duration,
+        workspace: String,
+        job: Option<Job>,
+    ) -> Self {
+        Self {
+            workspace,
+            scope: None,
+            job,
+            request: String::new(),
+            key: None,
+            since: now,
+            calls: Vec::new(),
+            wait: Wait::Coordinator,
+            dispatched: None,
+            running: false,
+            kept: Kept::Here,
+            asked: false,
+            bytes: 0,
+            outcome: None,
+            ended: Duration::ZERO,
+        }
+    }
+}
+
+/// Bytes that an outcome takes.
+pub(super) fn size(outcome: &Outcome) -> usize {
+    match outcome {
+        Outcome::Done(answer) => {
+            answer.parts.iter().map(|p| p.bytes.len()).sum()
+        }
+        Outcome::Failed(_, why) => why.len(),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/core/commands/dev.rs
@@ -0,0 +1,249 @@
+//! All roles in one process, with a store in memory and example upstreams.
+
+use std::{
+    fmt::Write,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use figrill_example::{
+    rounds::{self, Place, Plan, Round},
+    tasks::Tasks,
+};
+use figrill_node::{
+    agent::{AgentProcess, Source},
+    config::Config,
+    entry::EntryProcess,
+};
+use figrill_state::{
+    boot::Boot,
+    clock::{Clock, SystemClock},
+    digest,
+    ledger::{self, Change},
+    request::Submit,
+    store::{Store, memory::MemoryStore},
+    worker::{Capacity, Place as WorkerPlace},
+};
+use figrill_transport::auth::Secret;
+use serde_json::Value;
+
+use crate::{
+    args::Remote,
+    client::{Answer, Client},
+    exit::{CommandError, Exit},
+    logging,
+};
+
+use super::{job::print_done, read_file};
+
+/// What each worker of the site offers.
+const WORKER: Capacity = Capacity {
+    accelerators: 8,
+    slots: 8,
+    memory_mib: 131_072,
+};
+
+/// The longest that the site may take to come up.
+const READY_WITHIN: Duration = Duration::from_secs(20);
+
+/// The longest that the job may take.
+const JOB_WITHIN: Duration = Duration::from_mins(5);
+
+/// Time between two looks at the site while it comes up.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+fn failed(e: impl std::fmt::Display) -> CommandError {
+    CommandError::Failed(e.to_string())
+}
+
+/// Runs the site, and one job on it.
+///
+/// # Errors
+///
+/// Any [`CommandError`].
+pub fn run(
+    file: &str,
+    workers: u32,
+    json: bool,
+    log_level: &str,
+) -> Result<Exit, CommandError> {
+    logging::start(log_level)?;
+    let text = read_file(file)?;
+    let submit = Submit::parse(&text)
+        .map_err(|e| CommandError::Usage(format!("{file}: {e}")))?;
+    let token = format!("{:032x}", rand::random::<u128>());
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let store = Arc::new(MemoryStore::new(clock.clone()));
+    put_settings(store.as_ref(), &submit, &token)?;
+    let secret = format!("{:032x}", rand::random::<u128>());
+    let Some(secret) = Secret::from_file(&secret) else {
+        return Err(failed("no secret"));
+    };
+    let config = |name: &str, place: Option<WorkerPlace>| Config {
+        boot: Boot {
+            name: name.to_owned(),
+            peer: "127.0.0.1:0".to_owned(),
+            http: "127.0.0.1:0".to_owned(),
+            cell: "main".to_owned(),
+            place,
+            ..Boot::default()
+        },
+        secret: secret.clone(),
+        store: store.clone(),
+        clock: clock.clone(),
+    };
+    let entry =
+        EntryProcess::start(config("entry-1", None)).map_err(failed)?;
+    let mut agents = Vec::new();
+    for i in 0..workers {
+        let place = WorkerPlace {
+            failure_domain: format!("domain-{}", i % 3 + 1),
+            rack: format!("rack-{}", i % 3 + 1),
+        };
+        let name = format!("worker-{}", i + 1);
+        let source = Source::Fixed(Arc::new(Tasks::new()), WORKER);
+        let agent = AgentProcess::start(&config(&name, Some(place)), source);
+        agents.push(agent.map_err(failed)?);
+    }
+    let remote = Remote {
+        entry: format!("http://{}", entry.http),
+        token: Some(token),
+    };
+    let client = Client::new(&remote);
+    wait_ready(&client, workers)?;
+    let answer = run_job(&client, &text)?;
+    let result = report(&submit, &answer, json);
+    for agent in &agents {
+        agent.drain();
+    }
+    entry.drain();
+    for agent in agents {
+        agent.join();
+    }
+    entry.join();
+    result
+}
+
+/// Settings with the job's workspace and a token of its own.
+fn put_settings(
+    store: &dyn Store,
+    submit: &Submit,
+    token: &str,
+) -> Result<(), CommandError> {
+    let mut text = String::new();
+    let digest = digest::of_bytes(token.as_bytes());
+    let _ = writeln!(text, "[workspace/{}]", submit.workspace);
+    let _ = writeln!(text, "[token/dev]\ndigest = {digest}");
+    let _ = writeln!(text, "role = operator");
+    let change = Change {
+        base: 0,
+        text: &text,
+        id: "dev",
+        by: "dev",
+        at_s: 0,
+    };
+    ledger::apply(store, &change).map_err(failed).map(|_| ())
+}
+
+fn wait_ready(client: &Client, workers: u32) -> Result<(), CommandError> {
+    let start = Instant::now();
+    while start.elapsed() < READY_WITHIN {
+        if let Ok(status) = client.get::<Value>("/v1/status")
+            && status["cell"]["workers"] == workers
+        {
+            return Ok(());
+        }
+        thread::sleep(LOOK_EVERY);
+    }
+    Err(failed("the site did not come up"))
+}
+
+fn run_job(client: &Client, text: &str) -> Result<Answer, CommandError> {
+    let start = Instant::now();
+    let mut answer =
+        client.call("POST", "/v1/jobs", Some(text), JOB_WITHIN)?;
+    while answer.status == 202 && start.elapsed() < JOB_WITHIN {
+        let location = answer.location.clone().unwrap_or_default();
+        let path = format!("{location}?wait_s=10");
+        answer = client.call("GET", &path, None, JOB_WITHIN)?;
+    }
+    Ok(answer)
+}
+
+fn report(
+    submit: &Submit,
+    answer: &Answer,
+    json: bool,
+) -> Result<Exit, CommandError> {
+    let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+    if body["outcome"] != "done" {
+        say!("{}", answer.explain());
+        return Ok(Exit::Failed);
+    }
+    let checked = check(submit, &answer.body)?;
+    if json {
+        say!("{}", answer.body);
+    } else {
+        print_done(&body);
+        say!("{checked}");
+    }
+    Ok(Exit::Done)
+}
+
+/// An answer whose parts are kept as the very bytes that came.
+#[derive(serde::Deserialize)]
+struct RawAnswer {
+    digest: String,
+    parts: Vec<Box<serde_json::value::RawValue>>,
+}
+
+/// Checks the whole answer: its digest, and of each round that it visits
+/// every place once and is as long as it says.
+fn check(submit: &Submit, body: &str) -> Result<String, CommandError> {
+    let answer: RawAnswer = serde_json::from_str(body).map_err(failed)?;
+    let ranked = (0..).zip(answer.parts.iter());
+    let digest = digest::of_parts(
+        ranked.map(|(rank, part)| (rank, part.get().as_bytes())),
+    );
+    if answer.digest != format!("sha256:{digest}") {
+        return Err(failed("the answer does not match its digest"));
+    }
+    if answer.parts.len() != submit.inputs.len() {
+        return Err(failed("the answer does not have one part an input"));
+    }
+    let mut rounds = 0;
+    for (input, part) in submit.inputs.iter().zip(&answer.parts) {
+        let Ok(round) = serde_json::from_str::<Round>(input.get()) else {
+            continue;
+        };
+        let plan: Plan = serde_json::from_str(part.get()).map_err(failed)?;
+        check_round(&round, &plan)?;
+        rounds += 1;
+    }
+    Ok(format!("checked: whole answer, digest, {rounds} rounds"))
+}
+
+fn check_round(round: &Round, plan: &Plan) -> Result<(), CommandError> {
+    let wrong = |why: &str| failed(format!("round {}: {why}", round.crew));
+    let mut visited: Vec<&Place> = Vec::new();
+    for name in &plan.order {
+        let place = round.stops.iter().find(|p| p.name == *name);
+        let place = place.ok_or_else(|| wrong("an unknown place"))?;
+        if visited.iter().any(|p| p.name == place.name) {
+            return Err(wrong("a place is visited twice"));
+        }
+        visited.push(place);
+    }
+    if visited.len() != round.stops.len() || plan.crew != round.crew {
+        return Err(wrong("not all places are visited"));
+    }
+    let metres = rounds::length(&round.depot, &visited).round();
+    // Ways on earth are positive and far below the limit of the type.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let length_m = metres as u64;
+    if length_m != plan.length_m {
+        return Err(wrong("the length is wrong"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/core/logging.rs
@@ -0,0 +1,33 @@
+//! Logs on the standard error stream.
+
+use std::str::FromStr;
+
+use log::LevelFilter;
+use simplelog::{ConfigBuilder, WriteLogger};
+
+use crate::exit::CommandError;
+
+/// Starts logging at a level such as `info`.
+///
+/// # Errors
+///
+/// [`CommandError::Usage`] if there is no such level.
+pub fn start(level: &str) -> Result<(), CommandError> {
+    let filter = LevelFilter::from_str(level).map_err(|_| {
+        CommandError::Usage(format!(
+            "log level {level}: write off, error, warn, info or debug"
+        ))
+    })?;
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        // Only the project's own events: libraries may log what they see
+        // on the wire, and that could be a token.
+        .add_filter_allow_str("figrill")
+        .build();
+    // A second start in one process keeps the first.
+    let _ = WriteLogger::init(filter, config, std::io::stderr());
+    Ok(())
+}
--- /dev/null
+++ b/crates/example/src/lib.rs
@@ -0,0 +1,16 @@
+//! An example upstream: plans a crew's round over the places it is given.
+//!
+//! ```
+//! let input = br#"{"crew":"a","depot":{"name":"d","lat":57.0,"lon":24.0},
+//!     "stops":[{"name":"p","lat":57.1,"lon":24.1}]}"#;
+//! let answer = figrill_example::work::run(
+//!     input,
+//!     std::time::Duration::ZERO,
+//!     &mut || false,
+//! ).unwrap();
+//! assert!(String::from_utf8(answer).unwrap().contains("\"order\":[\"p\"]"));
+//! ```
+
+pub mod rounds;
+pub mod tasks;
+pub mod work;
--- /dev/null
+++ b/crates/node/src/agent.rs
@@ -0,0 +1,182 @@
+//! The agent process.
+
+use std::{
+    io,
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use crossbeam::channel::{Sender, bounded};
+use figrill_protocol::message::Peer;
+use figrill_state::{
+    event::{Code, Timeline},
+    upstream::Upstream,
+    worker::{Capacity, Place, Worker},
+};
+use figrill_transport::{
+    http::{self, Server},
+    peer::{self, Net},
+    runtime::Runtime,
+};
+
+use crate::{
+    api::SharedView,
+    config::{
+        Config, HTTP_RING, NET_RING, StartError, advertised, announce,
+        incarnation, local,
+    },
+    metrics::{Journal, Metrics},
+};
+
+mod api;
+mod discover;
+mod duty;
+mod links;
+mod parts;
+
+use duty::{Command, Duty};
+
+/// How long sockets live on after the last message was sent.
+const LINGER: Duration = Duration::from_millis(50);
+
+/// Where an agent's upstream comes from.
+pub enum Source {
+    /// It announces itself over HTTP.
+    Announced,
+    /// It is a part of this process.
+    Fixed(Arc<dyn Upstream>, Capacity),
+}
+
+/// A running agent.
+pub struct AgentProcess {
+    /// Where its upstream and operators reach it.
+    pub http: String,
+    /// Where other processes reach it.
+    pub peer: String,
+    commands: Sender<Command>,
+    duty: JoinHandle<()>,
+    runtime: Runtime,
+}
+
+impl AgentProcess {
+    /// Starts an agent.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`].
+    pub fn start(cfg: &Config, source: Source) -> Result<Self, StartError> {
+        let boot = cfg.boot.clone();
+        let listen = |address: &str| {
+            peer::bind(address)
+                .map_err(|e| StartError::Listen(address.to_owned(), e))
+        };
+        let peer_socket = listen(&boot.peer)?;
+        let http_socket = listen(&boot.http)?;
+        let bound = local(&peer_socket)?;
+        let peer_address = advertised(&boot, &bound);
+        let http_address = local(&http_socket)?;
+        let runtime = Runtime::start("net").map_err(StartError::Thread)?;
+        let journal = Journal {
+            timeline: Timeline::new(&boot.name, cfg.clock.clone()),
+            metrics: Metrics::new(),
+        };
+        let place = boot.place.clone().unwrap_or(Place {
+            failure_domain: "none".to_owned(),
+            rack: "none".to_owned(),
+        });
+        let worker = Worker {
+            name: boot.name.clone(),
+            incarnation: incarnation(),
+            address: peer_address.clone(),
+            place,
+            capacity: Capacity::default(),
+        };
+        let (net_tx, net_rx) = bounded(NET_RING);
+        let net = Net::start(
+            runtime.handle(),
+            peer_socket,
+            Peer {
+                name: worker.name.clone(),
+                incarnation: worker.incarnation,
+                peer: peer_address.clone(),
+                http: http_address.clone(),
+                worker: Some(worker.clone()),
+            },
+            cfg.secret.clone(),
+            net_tx,
+        );
+        let (http_tx, http_rx) = bounded::<http::Event>(HTTP_RING);
+        let server = Server::start(&runtime.handle(), http_socket, http_tx);
+        let (commands, commands_rx) = bounded(HTTP_RING);
+        let view = SharedView::default();
+        api::start(api::Api {
+            calls: http_rx,
+            commands: commands.clone(),
+            view: view.clone(),
+            journal: journal.clone(),
+            bootstrap: boot.bootstrap_digest.clone(),
+        })
+        .map_err(StartError::Thread)?;
+        discover::start(cfg.store.clone(), commands.clone())
+            .map_err(StartError::Thread)?;
+        let duty = Duty::new(
+            cfg,
+            worker,
+            net,
+            server,
+            view,
+            journal.clone(),
+            commands.clone(),
+        );
+        if let Source::Fixed(upstream, capacity) = source {
+            let command = Command::Fixed { upstream, capacity };
+            let _ = commands.send(command);
+        }
+        let duty = thread::Builder::new()
+            .name("duty".to_owned())
+            .spawn(move || duty.run(&net_rx, &commands_rx))
+            .map_err(StartError::Thread)?;
+        announce(&boot, &bound, &http_address)?;
+        let detail = format!("peer={peer_address} http={http_address}");
+        journal.say(Code::ProcessStarted, detail);
+        Ok(Self {
+            http: http_address,
+            peer: peer_address,
+            commands,
+            duty,
+            runtime,
+        })
+    }
+
+    /// Takes no new work from now on and ends once nothing is left to do.
+    pub fn drain(&self) {
+        let _ = self.commands.send(Command::Drain);
+    }
+
+    /// What drains the process from another thread.
+    pub fn drainer(&self) -> impl Fn() + Send + use<> {
+        let commands = self.commands.clone();
+        move || {
+            let _ = commands.send(Command::Drain);
+        }
+    }
+
+    /// Waits until the process has ended.
+    pub fn join(self) {
+        let _ = self.duty.join();
+        thread::sleep(LINGER);
+        self.runtime.stop();
+    }
+}
+
+/// Starts a thread that ends with its ring.
+fn spawn_detached(
+    name: &str,
+    work: impl FnOnce() + Send + 'static,
+) -> io::Result<()> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(work)
+        .map(|_| ())
+}
--- /dev/null
+++ b/crates/node/src/agent/api.rs
@@ -0,0 +1,87 @@
+//! The HTTP of an agent: the upstream's announcements and what operators
+//! ask.
+
+use std::io;
+
+use crossbeam::channel::{Receiver, Sender};
+use figrill_state::error::Kind;
+use figrill_transport::{
+    http::{self, Answer, Call},
+    upstream_client::Announcement,
+};
+use serde::Serialize;
+
+use crate::{
+    api::{self, SharedView, View, json, refusal},
+    metrics::Journal,
+};
+
+use super::duty::Command;
+
+/// What the thread works with.
+pub(super) struct Api {
+    pub(super) calls: Receiver<http::Event>,
+    pub(super) commands: Sender<Command>,
+    pub(super) view: SharedView,
+    pub(super) journal: Journal,
+    pub(super) bootstrap: String,
+}
+
+#[derive(Serialize)]
+struct Done {}
+
+/// Starts the thread; it ends with its ring.
+pub(super) fn start(api: Api) -> io::Result<()> {
+    super::spawn_detached("api", move || {
+        while let Ok(event) = api.calls.recv() {
+            if let http::Event::Call(call) = event {
+                api.call(call);
+            }
+        }
+    })
+}
+
+impl Api {
+    fn call(&self, call: Box<Call>) {
+        let view = self.view.get();
+        let common = api::common(call, &view, &self.bootstrap, &self.journal);
+        let Some(call) = common else { return };
+        let answer = self.route(&call, &view);
+        call.responder.send(answer);
+    }
+
+    fn route(&self, call: &Call, view: &View) -> Answer {
+        match (call.method.as_str(), call.path.as_str()) {
+            // Only what runs on this machine is beside this agent.
+            ("POST", "/v1/announce" | "/v1/leave") if !call.local => {
+                refusal(Kind::Forbidden, "announce from the worker itself")
+            }
+            ("POST", "/v1/announce") => {
+                match serde_json::from_slice::<Announcement>(&call.body) {
+                    Ok(announcement) => {
+                        self.pass(Command::Announced(announcement))
+                    }
+                    Err(e) => refusal(Kind::BadRequest, &e.to_string()),
+                }
+            }
+            ("POST", "/v1/leave") => self.pass(Command::Left),
+            ("POST", "/v1/drain") => {
+                let token = call.token.as_deref();
+                match api::operator(token, &view.tree, &self.bootstrap) {
+                    Ok(_) => self.pass(Command::Drain),
+                    Err(kind) => refusal(kind, ""),
+                }
+            }
+            (method, path) => {
+                refusal(Kind::NotFound, &format!("{method} {path}"))
+            }
+        }
+    }
+
+    fn pass(&self, command: Command) -> Answer {
+        match self.commands.send(command) {
+            Ok(()) => json(200, &Done {}),
+            Err(_) => refusal(Kind::Draining, ""),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,177 @@
+//! The entry process.
+
+use std::{
+    io,
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use crossbeam::channel::{Sender, bounded};
+use figrill_protocol::message::Peer;
+use figrill_state::{
+    event::{Code, Timeline},
+    record::EntryAddress,
+};
+use figrill_transport::{
+    http::{self, Server},
+    peer::{self, Net},
+    runtime::Runtime,
+};
+
+use crate::{
+    api::SharedView,
+    config::{
+        Config, HTTP_RING, NET_RING, STORE_RING, StartError, advertised,
+        announce, incarnation, local,
+    },
+    metrics::{Journal, Metrics},
+};
+
+mod answers;
+mod api;
+mod duty;
+mod store_calls;
+mod work;
+
+use duty::{Command, Duty};
+use store_calls::StoreCalls;
+
+/// Threads that call the store.
+const STORE_THREADS: usize = 3;
+
+/// A running entry.
+pub struct EntryProcess {
+    /// Where callers reach it.
+    pub http: String,
+    /// Where other processes reach it.
+    pub peer: String,
+    commands: Sender<Command>,
+    duty: JoinHandle<()>,
+    runtime: Runtime,
+}
+
+impl EntryProcess {
+    /// Starts an entry.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`].
+    pub fn start(cfg: Config) -> Result<Self, StartError> {
+        let boot = cfg.boot.clone();
+        let listen = |address: &str| {
+            peer::bind(address)
+                .map_err(|e| StartError::Listen(address.to_owned(), e))
+        };
+        let peer_socket = listen(&boot.peer)?;
+        let http_socket = listen(&boot.http)?;
+        let bound = local(&peer_socket)?;
+        let peer_address = advertised(&boot, &bound);
+        let http_address = local(&http_socket)?;
+        let runtime = Runtime::start("net").map_err(StartError::Thread)?;
+        let journal = Journal {
+            timeline: Timeline::new(&boot.name, cfg.clock.clone()),
+            metrics: Metrics::new(),
+        };
+        let me = EntryAddress {
+            name: boot.name.clone(),
+            peer: peer_address.clone(),
+            http: http_address.clone(),
+            incarnation: incarnation(),
+        };
+        let (net_tx, net_rx) = bounded(NET_RING);
+        let net = Net::start(
+            runtime.handle(),
+            peer_socket,
+            Peer {
+                name: me.name.clone(),
+                incarnation: me.incarnation,
+                peer: me.peer.clone(),
+                http: me.http.clone(),
+                worker: None,
+            },
+            cfg.secret.clone(),
+            net_tx,
+        );
+        let (http_tx, http_rx) = bounded::<http::Event>(HTTP_RING);
+        let server = Server::start(&runtime.handle(), http_socket, http_tx);
+        let (commands, commands_rx) = bounded(HTTP_RING);
+        let view = SharedView::default();
+        let store = StoreCalls::start(
+            &cfg,
+            &me,
+            STORE_RING,
+            STORE_THREADS,
+            &journal.metrics,
+        )
+        .map_err(StartError::Thread)?;
+        api::start(api::Api {
+            calls: http_rx,
+            commands: commands.clone(),
+            view: view.clone(),
+            journal: journal.clone(),
+            bootstrap: boot.bootstrap_digest.clone(),
+        })
+        .map_err(StartError::Thread)?;
+        let duty =
+            Duty::new(cfg, me, net, server, store, view, journal.clone());
+        let duty = spawn("duty", move || duty.run(&net_rx, &commands_rx))?;
+        announce(&boot, &bound, &http_address)?;
+        let detail = format!("peer={peer_address} http={http_address}");
+        journal.say(Code::ProcessStarted, detail);
+        Ok(Self {
+            http: http_address,
+            peer: peer_address,
+            commands,
+            duty,
+            runtime,
+        })
+    }
+
+    /// Takes no new work from now on and ends once nothing is left to do.
+    pub fn drain(&self) {
+        let _ = self.commands.send(Command::Drain);
+    }
+
+    /// What drains the process from another thread.
+    pub fn drainer(&self) -> impl Fn() + Send + use<> {
+        let commands = self.commands.clone();
+        move || {
+            let _ = commands.send(Command::Drain);
+        }
+    }
+
+    /// Waits until the process has ended.
+    pub fn join(self) {
+        let _ = self.duty.join();
+        // Answers that were given last are still on their way out.
+        thread::sleep(LINGER);
+        self.runtime.stop();
+    }
+}
+
+/// How long sockets live on after the last answer was given.
+const LINGER: Duration = Duration::from_millis(50);
+
+fn spawn(
+    name: &str,
+    work: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>, StartError> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(work)
+        .map_err(StartError::Thread)
+}
+
+/// Starts a thread that ends with its ring.
+fn spawn_detached(
+    name: &str,
+    work: impl FnOnce() + Send + 'static,
+) -> io::Result<()> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(work)
+        .map(|_| ())
+}
+
+type SharedStore = Arc<dyn figrill_state::store::Store>;
--- /dev/null
+++ b/crates/node/src/entry/answers.rs
@@ -0,0 +1,172 @@
+//! What callers are told, as JSON.
+
+use std::collections::BTreeMap;
+
+use figrill_coordination::{coordinator::Summary, entry::Reply};
+use figrill_state::{
+    digest,
+    error::Kind,
+    job::{Answer as JobAnswer, JobId, Outcome},
+};
+use figrill_transport::http::Answer;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use crate::api::{json, not_run};
+
+#[derive(Serialize)]
+struct DoneBody<'a> {
+    job: String,
+    outcome: &'a str,
+    attempt: String,
+    digest: String,
+    parts: Vec<&'a RawValue>,
+}
+
+#[derive(Serialize)]
+struct EndedBody<'a> {
+    job: String,
+    outcome: &'a str,
+    reason: Kind,
+    error: String,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    detail: &'a str,
+}
+
+#[derive(Serialize)]
+struct AcceptedBody {
+    job: String,
+    state: &'static str,
+    durable: bool,
+    location: String,
+}
+
+/// One process of the system.
+#[derive(Debug, Serialize)]
+pub(super) struct ProcessRow {
+    pub(super) name: String,
+    pub(super) role: &'static str,
+    pub(super) http: String,
+    pub(super) peer: String,
+}
+
+/// What operators are told of an entry and, if it coordinates, its cell.
+#[derive(Debug, Serialize)]
+pub(super) struct StatusBody {
+    pub(super) name: String,
+    pub(super) revision: u64,
+    pub(super) draining: bool,
+    pub(super) coordinator: Option<String>,
+    pub(super) term: u64,
+    pub(super) leading: bool,
+    pub(super) waiting_calls: usize,
+    pub(super) agents: usize,
+    pub(super) entries: usize,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) cell: Option<CellBody>,
+}
+
+/// A cell as its coordinator sees it.
+#[derive(Debug, Serialize)]
+pub(super) struct CellBody {
+    pub(super) workers: usize,
+    pub(super) accelerators: u32,
+    pub(super) free: u32,
+    pub(super) largest_rack_block: u32,
+    pub(super) queued: usize,
+    pub(super) running: usize,
+    pub(super) idle_guarantee: BTreeMap<String, u32>,
+}
+
+impl CellBody {
+    pub(super) fn new(
+        summary: Summary,
+        largest_rack_block: u32,
+        idle_guarantee: BTreeMap<String, u32>,
+    ) -> Self {
+        Self {
+            workers: summary.workers,
+            accelerators: summary.accelerators,
+            free: summary.free,
+            largest_rack_block,
+            queued: summary.queued,
+            running: summary.running,
+            idle_guarantee,
+        }
+    }
+}
+
+/// The answer to a caller.
+pub(super) fn render(reply: &Reply) -> Answer {
+    match reply {
+        Reply::Outcome { job, outcome } => outcome_answer(*job, outcome),
+        Reply::Accepted {
+            job,
+            running,
+            durable,
+        } => {
+            let location = format!("/v1/jobs/{job}");
+            let body = AcceptedBody {
+                job: job.to_string(),
+                state: if *running { "running" } else { "queued" },
+                durable: *durable,
+                location: location.clone(),
+            };
+            Answer {
+                location: Some(location),
+                ..json(202, &body)
+            }
+        }
+        Reply::Refused { job, kind } => match kind {
+            // Not a word about a job: there is none to speak of.
+            Kind::NotFound => crate::api::refusal(*kind, ""),
+            _ => not_run(*kind, "", job.map(|j| j.to_string())),
+        },
+    }
+}
+
+fn outcome_answer(job: JobId, outcome: &Outcome) -> Answer {
+    match outcome {
+        Outcome::Done(answer) => done(job, answer),
+        Outcome::NotRun(kind) => not_run(*kind, "", Some(job.to_string())),
+        Outcome::Failed(kind, detail) => ended(job, outcome, *kind, detail),
+        Outcome::Unknown(kind) => ended(job, outcome, *kind, ""),
+    }
+}
+
+fn ended(job: JobId, outcome: &Outcome, kind: Kind, detail: &str) -> Answer {
+    let body = EndedBody {
+        job: job.to_string(),
+        outcome: outcome.name(),
+        reason: kind,
+        error: kind.to_string(),
+        detail,
+    };
+    json(200, &body)
+}
+
+fn done(job: JobId, answer: &JobAnswer) -> Answer {
+    let parts: Option<Vec<&RawValue>> = answer
+        .parts
+        .iter()
+        .map(|part| serde_json::from_slice(&part.bytes).ok())
+        .collect();
+    // Agents let only JSON through, so this is the whole answer; if it is
+    // not, none of it is given.
+    let Some(parts) = parts else {
+        let why = "a part's answer is not JSON";
+        let outcome = Outcome::Failed(Kind::PartFailed, why.to_owned());
+        return ended(job, &outcome, Kind::PartFailed, why);
+    };
+    let ranked = answer.parts.iter();
+    let digest =
+        digest::of_parts(ranked.map(|p| (p.rank, p.bytes.as_slice())));
+    let body = DoneBody {
+        job: job.to_string(),
+        outcome: "done",
+        attempt: answer.attempt.to_string(),
+        digest: format!("sha256:{digest}"),
+        parts,
+    };
+    json(200, &body)
+}
--- /dev/null
+++ b/crates/protocol/src/message.rs
@@ -0,0 +1,116 @@
+//! The messages on a stream between two processes.
+
+use figrill_coordination::message::{
+    AgentReport, AgentRequest, JobReport, JobRequest, MemberReport,
+    MemberRequest, Run,
+};
+use figrill_state::{
+    event::Stamp,
+    job::JobId,
+    record::{EntryAddress, TermRecord},
+    worker::Worker,
+};
+
+/// The version of this protocol; a process refuses any other.
+pub const VERSION: u32 = 1;
+
+/// Bytes of a nonce.
+pub const NONCE_BYTES: usize = 16;
+
+/// A fresh random value.
+pub type Nonce = [u8; NONCE_BYTES];
+
+/// A message with the sender's logical time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Frame {
+    /// The sender's logical time.
+    pub stamp: Stamp,
+    /// The message.
+    pub message: Message,
+}
+
+/// Who is at the other end of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// The process's name.
+    pub name: String,
+    /// A fresh number at each start.
+    pub incarnation: u64,
+    /// Where other processes reach it.
+    pub peer: String,
+    /// Where its HTTP is reached.
+    pub http: String,
+    /// Its worker, if it is an agent.
+    pub worker: Option<Worker>,
+}
+
+/// What each side tells the other every second.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Beat {
+    /// The revision of the settings in force.
+    pub revision: u64,
+    /// The coordinator that the sender is or follows.
+    pub coordinator: Option<TermRecord>,
+    /// Whether the sender is that coordinator.
+    pub leading: bool,
+}
+
+/// A message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Message {
+    /// The accepting side's first message.
+    Challenge {
+        /// To be signed by the dialling side.
+        nonce: Nonce,
+    },
+    /// The dialling side's answer.
+    Hello {
+        /// The protocol's version.
+        version: u32,
+        /// Who dials.
+        peer: Peer,
+        /// To be signed by the accepting side.
+        nonce: Nonce,
+        /// Signs the challenge.
+        proof: Vec<u8>,
+    },
+    /// The accepting side's answer to that.
+    Welcome {
+        /// Who accepted.
+        peer: Peer,
+        /// Signs the dialling side's nonce.
+        proof: Vec<u8>,
+    },
+    /// A heartbeat.
+    Beat(Beat),
+    /// A wish for the settings in force at the other side.
+    Pull,
+    /// A settings record as the store keeps it.
+    Settings(Vec<u8>),
+    /// The entries that the sender knows.
+    Entries(Vec<EntryAddress>),
+    /// Entry to entry: look after these jobs once the sender is gone.
+    Wards(Vec<JobId>),
+    /// Coordinator to agent.
+    AgentRequest(AgentRequest),
+    /// Agent to coordinator.
+    AgentReport(AgentReport),
+    /// Lead to member.
+    MemberRequest {
+        /// The attempt.
+        run: Run,
+        /// The message.
+        request: MemberRequest,
+    },
+    /// Member to lead.
+    MemberReport {
+        /// The attempt.
+        run: Run,
+        /// The message.
+        report: MemberReport,
+    },
+    /// Entry to coordinator.
+    JobRequest(JobRequest),
+    /// Coordinator to entry.
+    JobReport(JobReport),
+}
--- /dev/null
+++ b/crates/protocol/src/wire.rs
@@ -0,0 +1,99 @@
+//! Wire types of their own, so that what is sent can stay as it is while
+//! what is kept in memory changes. Nothing else derives the codec's traits.
+
+use bincode::{Decode, Encode};
+use displaydoc::Display;
+use figrill_coordination::message;
+use figrill_state::{error, job};
+
+mod agent;
+mod frame;
+mod job_wire;
+mod state;
+
+pub use frame::Frame;
+
+/// a value of the message has no meaning here
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub struct WireError;
+
+impl std::error::Error for WireError {}
+
+/// Converts each element back.
+fn each<W, T: TryFrom<W, Error = WireError>>(
+    list: Vec<W>,
+) -> Result<Vec<T>, WireError> {
+    list.into_iter().map(T::try_from).collect()
+}
+
+#[derive(Encode, Decode)]
+pub struct JobId(u128);
+
+impl From<job::JobId> for JobId {
+    fn from(v: job::JobId) -> Self {
+        Self(v.0)
+    }
+}
+
+impl TryFrom<JobId> for job::JobId {
+    type Error = WireError;
+
+    fn try_from(w: JobId) -> Result<Self, WireError> {
+        Ok(Self(w.0))
+    }
+}
+
+#[derive(Encode, Decode)]
+pub struct Attempt(u64);
+
+impl From<job::Attempt> for Attempt {
+    fn from(v: job::Attempt) -> Self {
+        Self(v.0)
+    }
+}
+
+impl TryFrom<Attempt> for job::Attempt {
+    type Error = WireError;
+
+    fn try_from(w: Attempt) -> Result<Self, WireError> {
+        Ok(Self(w.0))
+    }
+}
+
+/// A reason by its place in the list of all.
+#[derive(Encode, Decode)]
+pub struct Kind(u8);
+
+impl From<error::Kind> for Kind {
+    fn from(v: error::Kind) -> Self {
+        let place = error::Kind::ALL.iter().position(|k| *k == v);
+        Self(place.and_then(|i| u8::try_from(i).ok()).unwrap_or(u8::MAX))
+    }
+}
+
+impl TryFrom<Kind> for error::Kind {
+    type Error = WireError;
+
+    fn try_from(w: Kind) -> Result<Self, WireError> {
+        Self::ALL.get(usize::from(w.0)).copied().ok_or(WireError)
+    }
+}
+
+#[derive(Encode, Decode)]
+pub struct EndingReport(agent::Run, agent::Header, agent::Ending);
+
+impl From<(message::Run, message::Header, message::Ending)> for EndingReport {
+    fn from(v: (message::Run, message::Header, message::Ending)) -> Self {
+        Self(v.0.into(), v.1.into(), v.2.into())
+    }
+}
+
+impl TryFrom<EndingReport>
+    for (message::Run, message::Header, message::Ending)
+{
+    type Error = WireError;
+
+    fn try_from(w: EndingReport) -> Result<Self, WireError> {
+        Ok((w.0.try_into()?, w.1.try_into()?, w.2.try_into()?))
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/wire/frame.rs
@@ -0,0 +1,220 @@
+//! Frames on the wire.
+
+use bincode::{Decode, Encode};
+
+use crate::message::Nonce;
+
+use super::{
+    JobId, WireError,
+    agent::{AgentReport, AgentRequest, MemberReport, MemberRequest, Run},
+    each,
+    job_wire::{JobReport, JobRequest},
+    state::{EntryAddress, Stamp, TermRecord, Worker},
+};
+
+#[derive(Encode, Decode)]
+pub struct Peer {
+    name: String,
+    incarnation: u64,
+    address: String,
+    http: String,
+    worker: Option<Worker>,
+}
+
+impl From<crate::message::Peer> for Peer {
+    fn from(v: crate::message::Peer) -> Self {
+        Self {
+            name: v.name,
+            incarnation: v.incarnation,
+            address: v.peer,
+            http: v.http,
+            worker: v.worker.map(Into::into),
+        }
+    }
+}
+
+impl TryFrom<Peer> for crate::message::Peer {
+    type Error = WireError;
+    fn try_from(w: Peer) -> Result<Self, WireError> {
+        Ok(Self {
+            name: w.name,
+            incarnation: w.incarnation,
+            peer: w.address,
+            http: w.http,
+            worker: w.worker.map(TryInto::try_into).transpose()?,
+        })
+    }
+}
+
+#[derive(Encode, Decode)]
+pub struct Beat {
+    revision: u64,
+    coordinator: Option<TermRecord>,
+    leading: bool,
+}
+
+impl From<crate::message::Beat> for Beat {
+    fn from(v: crate::message::Beat) -> Self {
+        Self {
+            revision: v.revision,
+            coordinator: v.coordinator.map(Into::into),
+            leading: v.leading,
+        }
+    }
+}
+
+impl TryFrom<Beat> for crate::message::Beat {
+    type Error = WireError;
+    fn try_from(w: Beat) -> Result<Self, WireError> {
+        Ok(Self {
+            revision: w.revision,
+            coordinator: w.coordinator.map(TryInto::try_into).transpose()?,
+            leading: w.leading,
+        })
+    }
+}
+
+#[derive(Encode, Decode)]
+pub struct Frame {
+    stamp: Stamp,
+    message: Message,
+}
+
+impl From<crate::message::Frame> for Frame {
+    fn from(v: crate::message::Frame) -> Self {
+        Self {
+            stamp: v.stamp.into(),
+            message: v.message.into(),
+        }
+    }
+}
+
+impl TryFrom<Frame> for crate::message::Frame {
+    type Error = WireError;
+    fn try_from(w: Frame) -> Result<Self, WireError> {
+        Ok(Self {
+            stamp: w.stamp.try_into()?,
+            message: w.message.try_into()?,
+        })
+    }
+}
+
+#[derive(Encode, Decode)]
+pub enum Message {
+    Challenge {
+        nonce: Nonce,
+    },
+    Hello {
+        version: u32,
+        peer: Peer,
+        nonce: Nonce,
+        proof: Vec<u8>,
+    },
+    Welcome {
+        peer: Peer,
+        proof: Vec<u8>,
+    },
+    Beat(Beat),
+    Pull,
+    Settings(Vec<u8>),
+    Entries(Vec<EntryAddress>),
+    Wards(Vec<JobId>),
+    AgentRequest(AgentRequest),
+    AgentReport(AgentReport),
+    MemberRequest {
+        run: Run,
+        request: MemberRequest,
+    },
+    MemberReport {
+        run: Run,
+        report: MemberReport,
+    },
+    JobRequest(JobRequest),
+    JobReport(JobReport),
+}
+
+impl From<crate::message::Message> for Message {
+    fn from(v: crate::message::Message) -> Self {
+        use crate::message::Message as D;
+        match v {
+            D::Challenge { nonce } => Self::Challenge { nonce },
+            D::Hello {
+                version,
+                peer,
+                nonce,
+                proof,
+            } => Self::Hello {
+                version,
+                peer: peer.into(),
+                nonce,
+                proof,
+            },
+            D::Welcome { peer, proof } => Self::Welcome {
+                peer: peer.into(),
+                proof,
+            },
+            D::Beat(a) => Self::Beat(a.into()),
+            D::Pull => Self::Pull,
+            D::Settings(a) => Self::Settings(a),
+            D::Entries(a) => {
+                Self::Entries(a.into_iter().map(Into::into).collect())
+            }
+            D::Wards(a) => {
+                Self::Wards(a.into_iter().map(Into::into).collect())
+            }
+            D::AgentRequest(a) => Self::AgentRequest(a.into()),
+            D::AgentReport(a) => Self::AgentReport(a.into()),
+            D::MemberRequest { run, request } => Self::MemberRequest {
+                run: run.into(),
+                request: request.into(),
+            },
+            D::MemberReport { run, report } => Self::MemberReport {
+                run: run.into(),
+                report: report.into(),
+            },
+            D::JobRequest(a) => Self::JobRequest(a.into()),
+            D::JobReport(a) => Self::JobReport(a.into()),
+        }
+    }
+}
+
+impl TryFrom<Message> for crate::message::Message {
+    type Error = WireError;
+    fn try_from(w: Message) -> Result<Self, WireError> {
+        Ok(match w {
+            Message::Challenge { nonce } => Self::Challenge { nonce },
+            Message::Hello {
+                version,
+                peer,
+                nonce,
+                proof,
+            } => Self::Hello {
+                version,
+                peer: peer.try_into()?,
+                nonce,
+                proof,
+            },
+            Message::Welcome { peer, proof } => Self::Welcome {
+                peer: peer.try_into()?,
+                proof,
+            },
+            Message::Beat(a) => Self::Beat(a.try_into()?),
+            Message::Pull => Self::Pull,
+            Message::Settings(a) => Self::Settings(a),
+            Message::Entries(a) => Self::Entries(each(a)?),
+            Message::Wards(a) => Self::Wards(each(a)?),
+            Message::AgentRequest(a) => Self::AgentRequest(a.try_into()?),
+            Message::AgentReport(a) => Self::AgentReport(a.try_into()?),
+            Message::MemberRequest { run, request } => Self::MemberRequest {
+                run: run.try_into()?,
+                request: request.try_into()?,
+            },
+            Message::MemberReport { run, report } => Self::MemberReport {
+                run: run.try_into()?,
+                report: report.try_into()?,
+            },
+            Message::JobRequest(a) => Self::JobRequest(a.try_into()?),
+            Message::JobReport(a) => Self::JobReport(a.try_into()?),
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/program.rs
@@ -0,0 +1,47 @@
+//! The stand-ins as a program: `standin store LISTEN` and
+//! `standin upstream LISTEN AGENT ACCELERATORS SLOTS MEMORY_MIB`.
+
+use std::{thread, time::Duration};
+
+use figrill_state::worker::Capacity;
+
+use crate::{store, upstream};
+
+/// Runs a stand-in until the process is ended; its address is the first
+/// line that it prints.
+///
+/// # Errors
+///
+/// What is wrong with `args`, or why it can't listen.
+pub fn run(args: &[String]) -> Result<(), String> {
+    let words: Vec<&str> = args.iter().map(String::as_str).collect();
+    let address = match words.as_slice() {
+        ["store", listen] => {
+            store::start(listen).map_err(|e| e.to_string())?
+        }
+        ["upstream", listen, agent, accelerators, slots, memory] => {
+            let number = |text: &str| {
+                text.parse().map_err(|_| format!("{text} is no number"))
+            };
+            let options = upstream::Options {
+                listen: (*listen).to_owned(),
+                agent: (*agent).to_owned(),
+                capacity: Capacity {
+                    accelerators: number(accelerators)?,
+                    slots: number(slots)?,
+                    memory_mib: number(memory)?,
+                },
+            };
+            upstream::start(options).map_err(|e| e.to_string())?
+        }
+        _ => {
+            return Err("use: standin store LISTEN | standin upstream \
+                        LISTEN AGENT ACCELERATORS SLOTS MEMORY_MIB"
+                .to_owned());
+        }
+    };
+    println!("{address}");
+    loop {
+        thread::sleep(Duration::from_hours(1));
+    }
+}
--- /dev/null
+++ b/crates/state/src/boot.rs
@@ -0,0 +1,237 @@
+//! The settings file of one process: who it is and whom it talks to.
+
+use crate::{
+    ini_file::{self, Entry, Problem, Problems, nearest},
+    worker::Place,
+};
+
+/// A key of `[process]`.
+#[derive(Debug)]
+pub struct BootKey {
+    /// Its name.
+    pub name: &'static str,
+    /// Its value where nothing sets it.
+    pub default: &'static str,
+    /// What it does.
+    pub help: &'static str,
+}
+
+impl BootKey {
+    const fn new(
+        name: &'static str,
+        default: &'static str,
+        help: &'static str,
+    ) -> Self {
+        Self {
+            name,
+            default,
+            help,
+        }
+    }
+}
+
+/// All keys of `[process]`.
+pub const KEYS: &[BootKey] = &[
+    BootKey::new(
+        "name",
+        "",
+        "the process's name; one of its kind in the system",
+    ),
+    BootKey::new(
+        "peer",
+        "127.0.0.1:0",
+        "address for the system's own processes",
+    ),
+    BootKey::new(
+        "peer_advertise",
+        "",
+        "what others dial, if not the peer address",
+    ),
+    BootKey::new(
+        "http",
+        "127.0.0.1:0",
+        "address for callers, upstream and operators",
+    ),
+    BootKey::new("failure_domain", "", "the failure domain that it stands in"),
+    BootKey::new("rack", "", "the rack that it stands in"),
+    BootKey::new("cell", "main", "the cell of workers that it belongs to"),
+    BootKey::new("store", "", "base address of the platform's store"),
+    BootKey::new(
+        "peer_secret_file",
+        "",
+        "file with the secret that all processes share",
+    ),
+    BootKey::new(
+        "entries",
+        "",
+        "peer addresses of entries, if the store is down",
+    ),
+    BootKey::new("announce_file", "", "file to write the bound addresses to"),
+    BootKey::new("log_level", "info", "off, error, warn, info or debug"),
+    BootKey::new(
+        "bootstrap_digest",
+        "",
+        "digest of the first operator's token",
+    ),
+    BootKey::new(
+        "worker_reserve",
+        "0",
+        "accelerators of the worker left unused",
+    ),
+];
+
+/// The settings of one process.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Boot {
+    /// Its name.
+    pub name: String,
+    /// Address for the system's own processes.
+    pub peer: String,
+    /// What others dial, if it is not the address that is bound.
+    pub peer_advertise: String,
+    /// Address for HTTP.
+    pub http: String,
+    /// Where it stands.
+    pub place: PlaceSetting,
+    /// Its cell.
+    pub cell: String,
+    /// Base address of the store.
+    pub store: String,
+    /// File with the shared secret.
+    pub peer_secret_file: String,
+    /// Peer addresses of entries to try without the store.
+    pub entries: Vec<String>,
+    /// File to write the bound addresses to.
+    pub announce_file: String,
+    /// How much to log.
+    pub log_level: String,
+    /// Digest of the operator's first token.
+    pub bootstrap_digest: String,
+    /// Accelerators left unused.
+    pub worker_reserve: u32,
+}
+
+/// A place, empty where not set.
+pub type PlaceSetting = Option<Place>;
+
+impl Boot {
+    /// Reads a settings file's text; `file` names it in problems, `flags`
+    /// override it.
+    ///
+    /// # Errors
+    ///
+    /// All problems with their lines.
+    pub fn parse(
+        text: &str,
+        file: &str,
+        flags: &[(String, String)],
+    ) -> Result<Self, Problems> {
+        let mut problems = Vec::new();
+        let mut entries: Vec<Entry> = Vec::new();
+        for section in ini_file::parse(text, file)? {
+            if section.path != "process" {
+                problems.push(Problem {
+                    file: file.to_owned(),
+                    line: section.line,
+                    text: format!(
+                        "no section [{}] here: use [process]",
+                        section.path
+                    ),
+                });
+            }
+            entries.extend(section.entries);
+        }
+        for entry in &entries {
+            check_key(entry, file, &mut problems);
+        }
+        for (key, value) in flags {
+            let entry = Entry {
+                key: key.clone(),
+                value: value.clone(),
+                line: 0,
+            };
+            check_key(&entry, "--set", &mut problems);
+        }
+        let at = |key: &str| -> String {
+            let flag = flags.iter().rev().find(|(k, _)| k == key);
+            let written = entries.iter().find(|e| e.key == key);
+            let default = KEYS.iter().find(|k| k.name == key);
+            flag.map(|(_, v)| v.clone())
+                .or_else(|| written.map(|e| e.value.clone()))
+                .unwrap_or_else(|| {
+                    default.map_or("", |k| k.default).to_owned()
+                })
+        };
+        let boot = Self {
+            name: at("name"),
+            peer: at("peer"),
+            peer_advertise: at("peer_advertise"),
+            http: at("http"),
+            place: place(&at("failure_domain"), &at("rack")),
+            cell: at("cell"),
+            store: at("store"),
+            peer_secret_file: at("peer_secret_file"),
+            entries: list(&at("entries")),
+            announce_file: at("announce_file"),
+            log_level: at("log_level"),
+            bootstrap_digest: at("bootstrap_digest"),
+            worker_reserve: at("worker_reserve").parse().unwrap_or(0),
+        };
+        for (key, value) in [
+            ("name", &boot.name),
+            ("peer_secret_file", &boot.peer_secret_file),
+        ] {
+            if value.is_empty() {
+                problems.push(Problem {
+                    file: file.to_owned(),
+                    line: 0,
+                    text: format!("[process] needs {key}"),
+                });
+            }
+        }
+        if problems.is_empty() {
+            Ok(boot)
+        } else {
+            Err(problems.into())
+        }
+    }
+}
+
+fn check_key(entry: &Entry, file: &str, problems: &mut Vec<Problem>) {
+    let mut problem = |text: String| {
+        problems.push(Problem {
+            file: file.to_owned(),
+            line: entry.line,
+            text,
+        });
+    };
+    if !KEYS.iter().any(|k| k.name == entry.key) {
+        let hint = nearest(&entry.key, KEYS.iter().map(|k| k.name))
+            .map_or(String::new(), |n| format!("; did you mean {n}?"));
+        problem(format!("no key {} in [process]{hint}", entry.key));
+        return;
+    }
+    let address =
+        matches!(entry.key.as_str(), "peer" | "http" | "peer_advertise");
+    if address && entry.value.parse::<std::net::SocketAddr>().is_err() {
+        problem(format!("{}: write IP:PORT", entry.key));
+    }
+    if entry.key == "worker_reserve" && entry.value.parse::<u32>().is_err() {
+        problem(format!("{}: write a whole number", entry.key));
+    }
+}
+
+fn place(failure_domain: &str, rack: &str) -> PlaceSetting {
+    if failure_domain.is_empty() && rack.is_empty() {
+        return None;
+    }
+    Some(Place {
+        failure_domain: failure_domain.to_owned(),
+        rack: rack.to_owned(),
+    })
+}
+
+fn list(text: &str) -> Vec<String> {
+    let words = text.split(',').map(str::trim);
+    words.filter(|w| !w.is_empty()).map(str::to_owned).collect()
+}
--- /dev/null
+++ b/crates/state/src/digest.rs
@@ -0,0 +1,47 @@
+//! SHA-256 digests of answers, bodies and tokens, as lower-case hex.
+
+use sha2::{Digest, Sha256};
+
+/// The digest of one run of bytes.
+#[must_use]
+pub fn of_bytes(buf: &[u8]) -> String {
+    hex(&Sha256::digest(buf))
+}
+
+/// The digest of a whole answer: for each part in rank order its rank
+/// (4 bytes, little-endian), its length (8 bytes) and its bytes.
+#[must_use]
+pub fn of_parts<'a>(parts: impl Iterator<Item = (u32, &'a [u8])>) -> String {
+    let mut sum = Sha256::new();
+    for (rank, buf) in parts {
+        sum.update(rank.to_le_bytes());
+        sum.update((buf.len() as u64).to_le_bytes());
+        sum.update(buf);
+    }
+    hex(&sum.finalize())
+}
+
+/// Whether `token` has the digest `expected`; the time taken does not
+/// depend on where they differ.
+#[must_use]
+pub fn token_matches(token: &str, expected: &str) -> bool {
+    let found = of_bytes(token.as_bytes());
+    if found.len() != expected.len() {
+        return false;
+    }
+    let differing = found
+        .bytes()
+        .zip(expected.bytes())
+        .fold(0_u8, |acc, (a, b)| acc | (a ^ b.to_ascii_lowercase()));
+    differing == 0
+}
+
+fn hex(buf: &[u8]) -> String {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    let mut out = String::with_capacity(buf.len() * 2);
+    for byte in buf {
+        out.push(char::from(DIGITS[usize::from(byte >> 4)]));
+        out.push(char::from(DIGITS[usize::from(byte & 15)]));
+    }
+    out
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,25 @@
+//! What figrill knows: jobs, settings, store records and events, as plain
+//! data with no sockets and no threads.
+//!
+//! ```
+//! use figrill_state::settings::Tree;
+//!
+//! let text = "[workspace/acme]\nweight = 2\n";
+//! let tree = Tree::parse(text, "site.ini").unwrap();
+//! assert_eq!(tree.workspace("acme").unwrap().weight, 2);
+//! ```
+
+pub mod boot;
+pub mod clock;
+pub mod digest;
+pub mod error;
+pub mod event;
+pub mod ini_file;
+pub mod job;
+pub mod ledger;
+pub mod record;
+pub mod request;
+pub mod settings;
+pub mod store;
+pub mod upstream;
+pub mod worker;
--- /dev/null
+++ b/crates/state/src/settings.rs
@@ -0,0 +1,386 @@
+//! The operators' settings: a tree in INI whose sections are paths, each of
+//! which inherits from the level above and overrides only what differs.
+//!
+//! ```
+//! use figrill_state::settings::Tree;
+//!
+//! let text = "[defaults]\nqueue_wait = 5m\n[workspace/acme]\n";
+//! let tree = Tree::parse(text, "site.ini").unwrap();
+//! let policy = tree.effective("acme", "any").unwrap();
+//! assert_eq!(policy.queue_wait.as_secs(), 300);
+//! ```
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    ini_file::{self, Entry, Problem, Problems, Section, nearest},
+    job::Shape,
+};
+
+pub mod schema;
+pub mod value;
+
+use schema::{KEYS, Key, Level, TOKEN_KEYS};
+
+/// What one service of a workspace is given, after inheritance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Policy {
+    /// Share of the unpromised capacity against other workspaces.
+    pub weight: u32,
+    /// The most jobs of the workspace that may wait.
+    pub queue_limit: u32,
+    /// The longest that a job may wait before it starts.
+    pub queue_wait: Duration,
+    /// The longest that a submission may hold its connection.
+    pub call_wait: Duration,
+    /// The most attempts of a repeatable job.
+    pub attempts: u32,
+    /// The longest that return of borrowed capacity may take.
+    pub reclaim_window: Duration,
+    /// Work whose learned run time is longer than this is long.
+    pub long_after: Duration,
+}
+
+/// A workspace.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Workspace {
+    /// Share of the unpromised capacity.
+    pub weight: u32,
+    /// The shapes that can always be claimed.
+    pub guarantee: Vec<Shape>,
+    /// The services with settings of their own.
+    pub services: Vec<String>,
+}
+
+/// What the bearer of a token may do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Submit, wait for and cancel jobs of one workspace.
+    Caller,
+    /// All that a caller may, everywhere, and change settings.
+    Operator,
+}
+
+/// A token by its digest.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Token {
+    /// The name after `token/`.
+    pub name: String,
+    /// SHA-256 of the token in hex.
+    pub digest: String,
+    /// What it allows.
+    pub role: Role,
+    /// The workspace of a caller's token.
+    pub workspace: Option<String>,
+}
+
+/// A checked tree of settings.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Tree {
+    levels: BTreeMap<String, Vec<Entry>>,
+    workspaces: BTreeMap<String, Workspace>,
+    tokens: Vec<Token>,
+}
+
+/// Where a value comes from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Shown {
+    /// The key.
+    pub key: &'static str,
+    /// Its value in force.
+    pub value: String,
+    /// `[section]` and line, or `built in`.
+    pub origin: String,
+}
+
+/// The section that all workspaces inherit from.
+const ROOT: &str = "defaults";
+
+impl Tree {
+    /// Reads and checks a whole tree; `file` names it in problems.
+    ///
+    /// # Errors
+    ///
+    /// All problems, each with its line and, for a name that is not known,
+    /// the nearest one that is.
+    pub fn parse(text: &str, file: &str) -> Result<Self, Problems> {
+        let sections = ini_file::parse(text, file)?;
+        let mut check = Check {
+            file,
+            problems: Vec::new(),
+        };
+        let mut tree = Self::default();
+        for section in &sections {
+            check.section(section, &mut tree);
+        }
+        check.references(&sections, &tree);
+        if check.problems.is_empty() {
+            Ok(tree)
+        } else {
+            check.problems.sort_by_key(|p| p.line);
+            Err(check.problems.into())
+        }
+    }
+
+    /// The workspace of this name.
+    #[must_use]
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces.get(name)
+    }
+
+    /// All workspaces in the order of their names.
+    pub fn workspaces(&self) -> impl Iterator<Item = (&str, &Workspace)> {
+        self.workspaces.iter().map(|(name, w)| (name.as_str(), w))
+    }
+
+    /// All tokens.
+    #[must_use]
+    pub fn tokens(&self) -> &[Token] {
+        &self.tokens
+    }
+
+    /// Percent of all accelerators that long work may fill.
+    #[must_use]
+    pub fn long_share(&self) -> u32 {
+        value::number(&self.lookup(&[ROOT.to_owned()], "long_share").0)
+    }
+
+    /// What a service is given; `None` if the workspace is not in the tree.
+    /// A service without a section of its own has its workspace's settings.
+    #[must_use]
+    pub fn effective(&self, workspace: &str, service: &str) -> Option<Policy> {
+        self.workspaces.get(workspace)?;
+        let at = |key| self.lookup(&chain(workspace, service), key).0;
+        Some(Policy {
+            weight: value::number(&at("weight")),
+            queue_limit: value::number(&at("queue_limit")),
+            queue_wait: value::duration_or_zero(&at("queue_wait")),
+            call_wait: value::duration_or_zero(&at("call_wait")),
+            attempts: value::number(&at("attempts")),
+            reclaim_window: value::duration_or_zero(&at("reclaim_window")),
+            long_after: value::duration_or_zero(&at("long_after")),
+        })
+    }
+
+    /// The values in force at a path such as `workspace/acme/service/x`,
+    /// with where each comes from; `None` if the path names no workspace.
+    #[must_use]
+    pub fn show(&self, path: &str) -> Option<Vec<Shown>> {
+        let mut words = path.split('/');
+        let chain = match (words.next(), words.next()) {
+            (Some(ROOT), None) => vec![ROOT.to_owned()],
+            (Some("workspace"), Some(name)) => {
+                self.workspaces.get(name)?;
+                let service = words.nth(1).unwrap_or_default();
+                chain(name, service)
+            }
+            _ => return None,
+        };
+        let rows = KEYS.iter().map(|key| {
+            let (value, origin) = self.lookup(&chain, key.name);
+            Shown {
+                key: key.name,
+                value,
+                origin,
+            }
+        });
+        Some(rows.collect())
+    }
+
+    fn lookup(&self, chain: &[String], key: &str) -> (String, String) {
+        for path in chain {
+            let entries = self.levels.get(path);
+            let found =
+                entries.and_then(|list| list.iter().find(|e| e.key == key));
+            if let Some(entry) = found {
+                let origin = format!("[{path}] line {}", entry.line);
+                return (entry.value.clone(), origin);
+            }
+        }
+        let default = KEYS.iter().find(|k| k.name == key);
+        let value = default.map_or("", |k| k.default).to_owned();
+        (value, "built in".to_owned())
+    }
+}
+
+fn chain(workspace: &str, service: &str) -> Vec<String> {
+    vec![
+        format!("workspace/{workspace}/service/{service}"),
+        format!("workspace/{workspace}"),
+        ROOT.to_owned(),
+    ]
+}
+
+struct Check<'a> {
+    file: &'a str,
+    problems: Vec<Problem>,
+}
+
+impl Check<'_> {
+    fn problem(&mut self, line: usize, text: String) {
+        let file = self.file.to_owned();
+        self.problems.push(Problem { file, line, text });
+    }
+
+    fn section(&mut self, section: &Section, tree: &mut Tree) {
+        let words: Vec<&str> = section.path.split('/').collect();
+        match words.as_slice() {
+            [ROOT] => {
+                self.level(section, Level::Root, tree);
+            }
+            ["workspace", name] if is_name(name) => {
+                self.level(section, Level::Workspace, tree);
+                add_workspace(section, name, tree);
+            }
+            ["workspace", name, "service", service]
+                if is_name(name) && is_name(service) =>
+            {
+                self.level(section, Level::Service, tree);
+            }
+            ["token", name] if is_name(name) => {
+                self.token(section, name, tree);
+            }
+            _ => {
+                let first = words.first().copied().unwrap_or_default();
+                let known = [ROOT, "workspace", "token"];
+                let hint = nearest(first, known)
+                    .map_or(String::new(), |n| format!("; did you mean {n}?"));
+                self.problem(
+                    section.line,
+                    format!(
+                        "[{}] is no section: use [defaults], \
+                         [workspace/NAME], [workspace/NAME/service/NAME] or \
+                         [token/NAME]{hint}",
+                        section.path
+                    ),
+                );
+            }
+        }
+    }
+
+    fn level(&mut self, section: &Section, level: Level, tree: &mut Tree) {
+        for entry in &section.entries {
+            if let Some(key) = self.known(entry, KEYS, &section.path) {
+                self.value(entry, key, level);
+            }
+        }
+        tree.levels
+            .insert(section.path.clone(), section.entries.clone());
+    }
+
+    fn known<'k>(
+        &mut self,
+        entry: &Entry,
+        keys: &'k [Key],
+        path: &str,
+    ) -> Option<&'k Key> {
+        let found = keys.iter().find(|k| k.name == entry.key);
+        if found.is_none() {
+            let names = keys.iter().map(|k| k.name);
+            let hint = nearest(&entry.key, names)
+                .map_or(String::new(), |n| format!("; did you mean {n}?"));
+            let text = format!("no key {} in [{path}]{hint}", entry.key);
+            self.problem(entry.line, text);
+        }
+        found
+    }
+
+    fn value(&mut self, entry: &Entry, key: &Key, level: Level) {
+        if !key.levels.contains(&level) {
+            let text = format!("{} can't be set at this level", key.name);
+            self.problem(entry.line, text);
+            return;
+        }
+        if let Err(why) = key.kind.check(&entry.value) {
+            let text = format!("{} = {}: {why}", key.name, entry.value);
+            self.problem(entry.line, text);
+        }
+    }
+
+    fn token(&mut self, section: &Section, name: &str, tree: &mut Tree) {
+        for entry in &section.entries {
+            if let Some(key) = self.known(entry, TOKEN_KEYS, &section.path)
+                && let Err(why) = key.kind.check(&entry.value)
+            {
+                self.problem(entry.line, format!("{}: {why}", key.name));
+            }
+        }
+        let find = |key: &str| {
+            let found = section.entries.iter().find(|e| e.key == key);
+            found.map(|e| e.value.clone())
+        };
+        let Some(digest) = find("digest") else {
+            let text = format!("[{}] needs a digest", section.path);
+            self.problem(section.line, text);
+            return;
+        };
+        let role = match find("role").as_deref() {
+            Some("operator") => Role::Operator,
+            _ => Role::Caller,
+        };
+        let workspace = find("workspace");
+        if role == Role::Caller && workspace.is_none() {
+            let text = format!(
+                "[{}] needs a workspace, or role = operator",
+                section.path
+            );
+            self.problem(section.line, text);
+        }
+        tree.tokens.push(Token {
+            name: name.to_owned(),
+            digest,
+            role,
+            workspace,
+        });
+    }
+
+    fn references(&mut self, sections: &[Section], tree: &Tree) {
+        let names: Vec<&str> =
+            tree.workspaces.keys().map(String::as_str).collect();
+        for section in sections {
+            let words: Vec<&str> = section.path.split('/').collect();
+            let reference = match words.as_slice() {
+                ["workspace", name, "service", _] => {
+                    Some((*name, section.line))
+                }
+                ["token", _] => section
+                    .entries
+                    .iter()
+                    .find(|e| e.key == "workspace")
+                    .map(|e| (e.value.as_str(), e.line)),
+                _ => None,
+            };
+            let Some((name, line)) = reference else {
+                continue;
+            };
+            if names.contains(&name) {
+                continue;
+            }
+            let hint = nearest(name, names.iter().copied())
+                .map_or(String::new(), |n| format!("; did you mean {n}?"));
+            let text = format!("no section [workspace/{name}]{hint}");
+            self.problem(line, text);
+        }
+    }
+}
+
+fn add_workspace(section: &Section, name: &str, tree: &mut Tree) {
+    let find = |key| section.entries.iter().find(|e| e.key == key);
+    let shapes = find("guarantee").map(|e| value::shapes(&e.value));
+    let guarantee = shapes.and_then(Result::ok).unwrap_or_default();
+    let weight = tree.lookup(&chain(name, ""), "weight").0;
+    let workspace = Workspace {
+        weight: value::number(&weight),
+        guarantee,
+        services: Vec::new(),
+    };
+    tree.workspaces.insert(name.to_owned(), workspace);
+}
+
+fn is_name(word: &str) -> bool {
+    !word.is_empty()
+        && word.len() <= 64
+        && word
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+}
--- /dev/null
+++ b/crates/state/src/settings/value.rs
@@ -0,0 +1,91 @@
+//! Values of settings: times, numbers and shapes.
+
+use std::time::Duration;
+
+use crate::job::{Adjacency, MAX_PARTS, Shape};
+
+/// A number that was checked before; 0 if it was not.
+#[must_use]
+pub fn number(text: &str) -> u32 {
+    text.parse().unwrap_or_default()
+}
+
+/// A time that was checked before; zero if it was not.
+#[must_use]
+pub fn duration_or_zero(text: &str) -> Duration {
+    duration(text).unwrap_or_default()
+}
+
+/// A time such as `500ms`, `30s`, `5m` or `24h`.
+///
+/// # Errors
+///
+/// What to write instead.
+pub fn duration(text: &str) -> Result<Duration, String> {
+    let split = text.find(|c: char| !c.is_ascii_digit());
+    let (digits, unit) = text.split_at(split.unwrap_or(text.len()));
+    let factor = match unit.trim() {
+        "ms" => 1,
+        "s" => 1000,
+        "m" => 60_000,
+        "h" => 3_600_000,
+        "" => {
+            return Err(format!("a time needs a unit: {text}s or {text}ms?"));
+        }
+        other => {
+            return Err(format!("no unit {other}: use ms, s, m or h"));
+        }
+    };
+    let count: u64 = digits.parse().map_err(|_| {
+        "write a time such as 500ms, 30s, 5m or 24h".to_owned()
+    })?;
+    let ms = count.checked_mul(factor);
+    ms.map(Duration::from_millis)
+        .ok_or_else(|| "too long".to_owned())
+}
+
+/// Shapes such as `2x8 rack, 4x1`: parts, accelerators for each and how
+/// close they stand.
+///
+/// # Errors
+///
+/// What to write instead.
+pub fn shapes(text: &str) -> Result<Vec<Shape>, String> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|word| !word.is_empty())
+        .map(shape)
+        .collect()
+}
+
+fn shape(text: &str) -> Result<Shape, String> {
+    let mut words = text.split_whitespace();
+    let size = words.next().unwrap_or_default();
+    let adjacency = words.next().unwrap_or("none");
+    let usage =
+        || format!("{text} is no shape: write PARTSxACCELERATORS [ADJACENCY]");
+    let (parts, accelerators) = size.split_once('x').ok_or_else(usage)?;
+    let parts: u32 = parts.parse().map_err(|_| usage())?;
+    let accelerators: u32 = accelerators.parse().map_err(|_| usage())?;
+    if parts == 0 || parts > MAX_PARTS || accelerators == 0 {
+        return Err(format!(
+            "{text}: a shape has 1 to {MAX_PARTS} parts of 1 accelerator or \
+             more"
+        ));
+    }
+    let found = Adjacency::NAMES.iter().find(|(n, _)| *n == adjacency);
+    let Some((_, adjacency)) = found else {
+        let names: Vec<&str> =
+            Adjacency::NAMES.iter().map(|(n, _)| *n).collect();
+        return Err(format!("no adjacency: use one of {}", names.join(", ")));
+    };
+    if words.next().is_some() {
+        return Err(usage());
+    }
+    Ok(Shape {
+        parts,
+        accelerators,
+        memory_mib: 0,
+        adjacency: *adjacency,
+    })
+}
