--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -194,6 +194,7 @@
     leads: BTreeMap<Run, String>,
     away: BTreeMap<String, Duration>,
     jobs: BTreeMap<JobId, JobState>,
+    active: BTreeSet<JobId>,
     ended: std::collections::VecDeque<JobId>,
     queue: Queue,
     guarantees: Guarantees,
@@ -221,6 +222,7 @@
             leads: BTreeMap::new(),
             away: BTreeMap::new(),
             jobs: BTreeMap::new(),
+            active: BTreeSet::new(),
             ended: std::collections::VecDeque::new(),
             queue: Queue::default(),
             learner: Learner::default(),
@@ -337,14 +339,8 @@
     }
 
     fn estimate(&self, state: &JobState) -> Estimate {
-        let header = &state.header;
         let declared = state.job.as_ref().and_then(|j| j.declared);
-        self.learner.estimate(
-            &header.workspace,
-            &header.service,
-            &header.shape,
-            declared,
-        )
+        self.learner.estimate(state.kind, declared)
     }
 
     fn next_attempt(&mut self) -> Attempt {
@@ -371,6 +367,7 @@
         for job in jobs {
             self.tick_job(now, job);
         }
+        self.promote();
         self.forget_workers(now);
         self.forget_jobs(now);
         self.changed = true;
--- a/crates/coordination/src/coordinator/attempts.rs
+++ b/crates/coordination/src/coordinator/attempts.rs
@@ -38,6 +38,7 @@
         let attempt = self.next_attempt();
         let run = Run { job, attempt };
         self.queue.remove(job);
+        self.active.insert(job);
         if self.reservation.as_ref().is_some_and(|r| r.job == job) {
             self.reservation = None;
         }
@@ -213,6 +214,7 @@
             self.requeue(now, job, Duration::ZERO);
             return;
         }
+        self.active.remove(&job);
         let Some(state) = self.jobs.remove(&job) else {
             return;
         };
@@ -472,14 +474,8 @@
         let Some(booking) = state.booking() else {
             return;
         };
-        let header = &state.header;
-        self.learner.add(
-            &header.workspace,
-            &header.service,
-            &header.shape,
-            state.job.as_ref().and_then(|j| j.declared),
-            now.saturating_sub(booking.placed),
-        );
+        let time = now.saturating_sub(booking.placed);
+        self.learner.add(state.kind, time);
     }
 
     /// Some part ran and the gang failed.
@@ -587,6 +583,7 @@
             self.end_waiting(now, job, kind);
             return;
         }
+        self.active.remove(&job);
         state.phase = Phase::Queued;
         state.not_before = now + wait;
         self.note(Code::JobRequeued, job, "");
--- a/crates/coordination/src/coordinator/job_state.rs
+++ b/crates/coordination/src/coordinator/job_state.rs
@@ -12,7 +12,7 @@
 
 use crate::message::{Band, Dispatched, Header, Member, Run};
 
-use super::placement::Placement;
+use super::{learn::KindId, placement::Placement};
 
 /// An attempt with its place.
 #[derive(Clone, Debug)]
@@ -107,6 +107,8 @@
     pub job: Option<Job>,
     /// What is known of it in any case.
     pub header: Header,
+    /// What is learnt of its run time.
+    pub kind: KindId,
     /// When its caller sent it.
     pub submitted: Duration,
     /// The incarnations of entries that want to hear of it.
@@ -138,6 +140,17 @@
         }
     }
 
+    /// Notes that its attempt now takes another band of capacity.
+    pub const fn set_band(&mut self, band: Band) {
+        match &mut self.phase {
+            Phase::Reclaiming { booking, .. }
+            | Phase::Marking(booking, _)
+            | Phase::Holding { booking, .. }
+            | Phase::Started { booking, .. } => booking.band = band,
+            _ => {}
+        }
+    }
+
     /// Whether an attempt of it may be running.
     #[must_use]
     pub const fn is_started(&self) -> bool {
--- a/crates/coordination/src/coordinator/jobs.rs
+++ b/crates/coordination/src/coordinator/jobs.rs
@@ -20,6 +20,7 @@
     Action, Coordinator, UNKNOWN_AFTER,
     guarantee::{Claim, accelerators_each},
     job_state::{JobState, Phase},
+    learn::KindId,
     placement,
     queue::{Lane, Rank},
 };
@@ -85,9 +86,16 @@
             recorded: job.record.is_some(),
             band: Band::Unpromised,
         };
+        let kind = self.learner.kind(
+            &job.workspace,
+            &job.service,
+            &job.shape,
+            job.declared,
+        );
         let state = JobState {
             job: Some(job),
             header,
+            kind,
             submitted: now.saturating_sub(age),
             watchers: BTreeSet::from([from]),
             failures: 0,
@@ -289,6 +297,7 @@
         let detail = format!("outcome={}", outcome.name());
         self.note(Code::JobEnded, job, &detail);
         self.queue.remove(job);
+        self.active.remove(&job);
         let Some(state) = self.jobs.get_mut(&job) else {
             return;
         };
@@ -460,6 +469,7 @@
         let state = JobState {
             job: None,
             header,
+            kind: KindId::default(),
             submitted: now,
             watchers: BTreeSet::from([from]),
             failures: 0,
--- a/crates/coordination/src/coordinator/learn.rs
+++ b/crates/coordination/src/coordinator/learn.rs
@@ -116,57 +116,84 @@
     pub high: Duration,
 }
 
+/// Names a kind of work.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct KindId(usize);
+
+/// A kind that stands for all that there is no room for.
+const OTHER: KindId = KindId(0);
+
 /// Learns run times by workspace, service, size and declared magnitude.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Learner {
-    sketches: BTreeMap<WorkKind, Sketch>,
+    ids: BTreeMap<WorkKind, KindId>,
+    sketches: Vec<Sketch>,
+    estimates: Vec<Option<Estimate>>,
+}
+
+impl Default for Learner {
+    fn default() -> Self {
+        Self {
+            ids: BTreeMap::new(),
+            sketches: vec![Sketch::default()],
+            estimates: vec![None],
+        }
+    }
 }
 
 impl Learner {
-    /// Takes note of a run that ended by itself.
-    pub fn add(
+    /// The kind of a job.
+    pub fn kind(
         &mut self,
         workspace: &str,
         service: &str,
         shape: &Shape,
         declared: Option<Duration>,
-        time: Duration,
-    ) {
+    ) -> KindId {
         let kind = WorkKind::new(workspace, service, shape, declared);
-        if self.sketches.len() >= KINDS_MAX
-            && !self.sketches.contains_key(&kind)
-        {
-            self.sketches.pop_first();
+        if let Some(id) = self.ids.get(&kind) {
+            return *id;
+        }
+        if self.sketches.len() >= KINDS_MAX {
+            return OTHER;
+        }
+        let id = KindId(self.sketches.len());
+        self.sketches.push(Sketch::default());
+        self.estimates.push(None);
+        self.ids.insert(kind, id);
+        id
+    }
+
+    /// Takes note of a run that ended by itself.
+    pub fn add(&mut self, kind: KindId, time: Duration) {
+        if kind == OTHER {
+            return;
+        }
+        let sketch = &mut self.sketches[kind.0];
+        sketch.add(time);
+        if sketch.total >= TRUSTED_AFTER {
+            self.estimates[kind.0] = Some(Estimate {
+                low: sketch.quantile(10),
+                middle: sketch.quantile(50),
+                high: sketch.quantile(90),
+            });
         }
-        self.sketches.entry(kind).or_default().add(time);
     }
 
     /// What a job of this kind is likely to take.
     #[must_use]
     pub fn estimate(
         &self,
-        workspace: &str,
-        service: &str,
-        shape: &Shape,
+        kind: KindId,
         declared: Option<Duration>,
     ) -> Estimate {
-        let kind = WorkKind::new(workspace, service, shape, declared);
-        let known = self
-            .sketches
-            .get(&kind)
-            .filter(|sketch| sketch.total >= TRUSTED_AFTER);
-        if let Some(sketch) = known {
-            return Estimate {
-                low: sketch.quantile(10),
-                middle: sketch.quantile(50),
-                high: sketch.quantile(90),
-            };
-        }
-        let guess = declared.unwrap_or(UNKNOWN);
-        Estimate {
-            low: Duration::ZERO,
-            middle: guess,
-            high: guess * 2,
-        }
+        self.estimates[kind.0].unwrap_or_else(|| {
+            let guess = declared.unwrap_or(UNKNOWN);
+            Estimate {
+                low: Duration::ZERO,
+                middle: guess,
+                high: guess * 2,
+            }
+        })
     }
 }
--- a/crates/coordination/src/coordinator/rebuild.rs
+++ b/crates/coordination/src/coordinator/rebuild.rs
@@ -231,9 +231,16 @@
             state.phase = phase;
             self.queue.remove(run.job);
         } else {
+            let kind = self.learner.kind(
+                &header.workspace,
+                &header.service,
+                &header.shape,
+                None,
+            );
             let state = JobState {
                 job: None,
                 header,
+                kind,
                 submitted: booking.placed,
                 watchers: BTreeSet::new(),
                 failures: 0,
@@ -245,6 +252,7 @@
             };
             self.jobs.insert(run.job, state);
         }
+        self.active.insert(run.job);
         self.note(Code::JobAdopted, run.job, &format!("of={workspace}"));
         if booking.band == Band::Own && !self.guarantees.holds(run) {
             self.claim_again(run);
--- a/crates/coordination/src/coordinator/schedule.rs
+++ b/crates/coordination/src/coordinator/schedule.rs
@@ -21,7 +21,7 @@
 
 use super::{
     Coordinator,
-    cell::View,
+    cell::{Booked, View},
     guarantee::{Claim, Packed},
     job_state::{Choice, JobState, Phase},
     placement::{self, Placement},
@@ -34,6 +34,9 @@
 /// How long a gang waits before it gets a reservation.
 pub const RESERVE_AFTER: Duration = Duration::from_secs(20);
 
+/// The most borrowers that one tick looks at.
+const PROMOTIONS: usize = 32;
+
 /// Workers kept for a gang that has waited long.
 #[derive(Clone, Debug)]
 pub struct Reservation {
@@ -129,6 +132,63 @@
         }
     }
 
+    fn active_jobs(&self) -> impl Iterator<Item = &JobState> {
+        self.active.iter().filter_map(|id| self.jobs.get(id))
+    }
+
+    /// Makes borrowed work firm where that costs no guarantee any more: it
+    /// then need not be reclaimed later.
+    pub(super) fn promote(&mut self) {
+        let borrowed: Vec<Run> = self
+            .active_jobs()
+            .filter_map(JobState::booking)
+            .filter(|b| b.band == Band::Borrowed)
+            .map(|b| b.run)
+            .take(PROMOTIONS)
+            .collect();
+        for run in borrowed {
+            self.promote_run(run);
+        }
+    }
+
+    fn promote_run(&mut self, run: Run) {
+        let Some(state) = self.jobs.get(&run.job) else {
+            return;
+        };
+        let claim = self.claim_of(state);
+        let needs: Vec<(usize, Capacity)> = self
+            .cell
+            .nodes()
+            .iter()
+            .enumerate()
+            .filter_map(|(i, n)| Some((i, n.runs().get(&run)?.need)))
+            .collect();
+        let before = self.guarantees.pack(&self.cell, &[], None);
+        let shape = state.header.shape;
+        let claimed = claim_size(&shape, claim.as_ref());
+        let own = claim.filter(|claim| {
+            let wanted = Packed(before.0.saturating_sub(claimed));
+            let packed = self.guarantees.pack(&self.cell, &needs, Some(claim));
+            packed >= wanted
+        });
+        let firm = || self.guarantees.pack(&self.cell, &needs, None) >= before;
+        let band = match own {
+            Some(claim) => {
+                self.guarantees.claim(run, claim);
+                Band::Own
+            }
+            None if firm() => Band::Unpromised,
+            None => return,
+        };
+        for (i, need) in needs {
+            self.cell.book(i, run, Booked { need, band });
+        }
+        if let Some(state) = self.jobs.get_mut(&run.job) {
+            state.header.band = band;
+            state.set_band(band);
+        }
+    }
+
     /// Whether running work is long: by what was learnt of its kind, or
     /// because it has run for longer than short work does.
     fn is_long_running(
@@ -410,7 +470,7 @@
 
     fn expected_ends(&self, now: Duration) -> BTreeMap<Run, Duration> {
         let mut ends = BTreeMap::new();
-        for state in self.jobs.values() {
+        for state in self.active_jobs() {
             if let Some(booking) = state.booking() {
                 let high = self.estimate(state).high;
                 let elapsed = now.saturating_sub(booking.placed);
--- a/crates/example/src/tasks.rs
+++ b/crates/example/src/tasks.rs
@@ -75,6 +75,12 @@
         self.lock().starts.clone()
     }
 
+    /// The agent that fenced the upstream last.
+    #[must_use]
+    pub fn agent(&self) -> Option<u64> {
+        self.lock().agent
+    }
+
     /// Makes each task fail as soon as it starts, or no longer.
     pub fn fail_all(&self, fail: bool) {
         self.lock().fail_all = fail;
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -1,7 +1,8 @@
 //! A stand-in for an upstream: the example's tasks over HTTP. It announces
 //! itself to the agent beside it.
 //!
-//! `GET /starts` is its own record of each start; `POST /fault?fail_all=1`
+//! `GET /starts` is its own record of each start, `GET /agent` the agent
+//! that fenced it last; `POST /fault?fail_all=1`
 //! makes all tasks fail; `POST /announce?on=0` makes it fall silent towards
 //! its agent, and `POST /leave` makes it leave properly.
 
@@ -97,6 +98,10 @@
                 let starts = self.tasks.starts();
                 Reply::body(serde_json::to_vec(&starts).unwrap_or_default())
             }
+            ("GET", ["agent"]) => {
+                let agent = self.tasks.agent().unwrap_or(0);
+                Reply::body(agent.to_string().into_bytes())
+            }
             ("POST", ["fault"]) => {
                 self.tasks.fail_all(call.number("fail_all") == Some(1));
                 Reply::status(200)
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -48,8 +48,6 @@
     pub weight: u32,
     /// The shapes that can always be claimed.
     pub guarantee: Vec<Shape>,
-    /// The services with settings of their own.
-    pub services: Vec<String>,
 }
 
 /// What the bearer of a token may do.
@@ -80,8 +78,13 @@
     levels: BTreeMap<String, Vec<Entry>>,
     workspaces: BTreeMap<String, Workspace>,
     tokens: Vec<Token>,
+    policies: BTreeMap<String, Policies>,
 }
 
+/// What a workspace's services are given: the one without a name stands
+/// for all that have no section of their own.
+type Policies = BTreeMap<String, Policy>;
+
 /// Where a value comes from.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Shown {
@@ -115,6 +118,7 @@
         }
         check.references(&sections, &tree);
         if check.problems.is_empty() {
+            tree.policies = tree.make_policies();
             Ok(tree)
         } else {
             check.problems.sort_by_key(|p| p.line);
@@ -148,10 +152,35 @@
     /// What a service is given; `None` if the workspace is not in the tree.
     /// A service without a section of its own has its workspace's settings.
     #[must_use]
-    pub fn effective(&self, workspace: &str, service: &str) -> Option<Policy> {
-        self.workspaces.get(workspace)?;
-        let at = |key| self.lookup(&chain(workspace, service), key).0;
-        Some(Policy {
+    pub fn effective(
+        &self,
+        workspace: &str,
+        service: &str,
+    ) -> Option<&Policy> {
+        let policies = self.policies.get(workspace)?;
+        policies.get(service).or_else(|| policies.get(""))
+    }
+
+    fn make_policies(&self) -> BTreeMap<String, Policies> {
+        let of = |workspace: &str| {
+            let head = format!("workspace/{workspace}/service/");
+            let services = self
+                .levels
+                .keys()
+                .filter_map(|path| path.strip_prefix(&head));
+            std::iter::once("")
+                .chain(services)
+                .map(|s| (s.to_owned(), self.make_policy(workspace, s)))
+                .collect()
+        };
+        let names = self.workspaces.keys();
+        names.map(|name| (name.clone(), of(name))).collect()
+    }
+
+    fn make_policy(&self, workspace: &str, service: &str) -> Policy {
+        let chain = chain(workspace, service);
+        let at = |key| self.lookup(&chain, key).0;
+        Policy {
             weight: value::number(&at("weight")),
             queue_limit: value::number(&at("queue_limit")),
             queue_wait: value::duration_or_zero(&at("queue_wait")),
@@ -159,7 +188,7 @@
             attempts: value::number(&at("attempts")),
             reclaim_window: value::duration_or_zero(&at("reclaim_window")),
             long_after: value::duration_or_zero(&at("long_after")),
-        })
+        }
     }
 
     /// The values in force at a path such as `workspace/acme/service/x`,
@@ -372,7 +401,6 @@
     let workspace = Workspace {
         weight: value::number(&weight),
         guarantee,
-        services: Vec::new(),
     };
     tree.workspaces.insert(name.to_owned(), workspace);
 }
