--- a/benchsuite/src/baselines.rs
+++ b/benchsuite/src/baselines.rs
@@ -78,11 +78,15 @@
                 "w2" => 2,
                 _ => 1,
             };
-            let share = |i: &usize| {
-                let workspace = &self.queue[*i].workspace;
-                self.used(workspace) * 100 / weight(workspace)
-            };
-            order.sort_by_key(share);
+            let shares: BTreeMap<&str, u32> = ["w1", "w2", "w3", "w4"]
+                .into_iter()
+                .map(|w| (w, self.used(w) * 100 / weight(w)))
+                .collect();
+            // Only the first waiting job matters: nobody goes before it.
+            let share =
+                |i: &usize| shares.get(self.queue[*i].workspace.as_str());
+            let first = order.iter().min_by_key(|i| share(i)).copied();
+            order = first.into_iter().collect();
         }
         order
     }
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -66,6 +66,9 @@
 /// How long a worker may be away before it is forgotten.
 pub const FORGET_AFTER: Duration = Duration::from_mins(10);
 
+/// Time between two passes over the queue when nothing else happens.
+pub const PASS_EVERY: Duration = Duration::from_secs(1);
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -202,6 +205,9 @@
     health: Health,
     reservation: Option<Reservation>,
     rebuild_until: Duration,
+    short_demand: u32,
+    next_pass: Duration,
+    wake: Option<Duration>,
     changed: bool,
     out: Vec<Action>,
 }
@@ -229,6 +235,9 @@
             health: Health::default(),
             reservation: None,
             rebuild_until: now + REBUILD,
+            short_demand: 0,
+            next_pass: now,
+            wake: Some(now + REBUILD),
             changed: false,
             out: Vec::new(),
         };
@@ -367,10 +376,23 @@
         for job in jobs {
             self.tick_job(now, job);
         }
-        self.promote();
+        if now >= self.next_pass {
+            self.next_pass = now + PASS_EVERY;
+            self.watch_short_demand(now);
+            self.promote();
+            self.changed = true;
+        }
+        self.wake_waiting(now);
         self.forget_workers(now);
         self.forget_jobs(now);
-        self.changed = true;
+    }
+
+    /// Jobs that were told to wait for a moment may be placed again.
+    fn wake_waiting(&mut self, now: Duration) {
+        if self.wake.is_some_and(|at| now >= at) {
+            self.wake = None;
+            self.changed = true;
+        }
     }
 
     fn forget_workers(&mut self, now: Duration) {
--- a/crates/coordination/src/coordinator/attempts.rs
+++ b/crates/coordination/src/coordinator/attempts.rs
@@ -74,6 +74,7 @@
             members,
             band: choice.band,
             placed: now,
+            under: choice.under,
         };
         let detail = format!(
             "attempt={attempt} band={:?} workers={}",
@@ -105,7 +106,7 @@
         let policy = self.tree.effective(&header.workspace, &header.service);
         let window = policy.map_or(HOLD_WAIT, |p| p.reclaim_window);
         for victim in &victims {
-            self.end_attempt(now, victim.job, Kind::Reclaimed, window / 2);
+            self.move_borrower(now, victim.job, window / 2);
         }
         // A borrower that has not left by then is out of reach; another
         // place has the other half of the window.
@@ -121,6 +122,24 @@
         self.check_reclaim(now, job);
     }
 
+    /// Asks a borrower to leave; one that has not started waits again.
+    fn move_borrower(&mut self, now: Duration, job: JobId, window: Duration) {
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        match state.phase.clone() {
+            Phase::Holding { booking, .. } => {
+                self.release(&booking);
+                self.requeue(now, job, PLACE_AGAIN);
+            }
+            Phase::Reclaiming { booking, .. } => {
+                self.unbook(&booking);
+                self.requeue(now, job, PLACE_AGAIN);
+            }
+            _ => self.end_attempt(now, job, Kind::Reclaimed, window),
+        }
+    }
+
     /// Marks the record, if there is one, then asks for the holds.
     fn proceed(&mut self, now: Duration, booking: Booking) {
         let run = booking.run;
@@ -557,6 +576,7 @@
                 state.checkpoints.insert(rank, bytes);
             }
         }
+        state.reclaims += 1;
         let again = state.cancelled.is_none()
             && state.header.repeatable
             && state.job.is_some();
@@ -586,8 +606,10 @@
         self.active.remove(&job);
         state.phase = Phase::Queued;
         state.not_before = now + wait;
+        let wake = self.wake.map_or(now + wait, |at| at.min(now + wait));
+        self.wake = Some(wake);
         self.note(Code::JobRequeued, job, "");
-        self.enqueue(now, job);
+        self.enqueue(job);
     }
 
     fn freed(&mut self, now: Duration, worker: &str, run: Run) {
--- a/crates/coordination/src/coordinator/cell.rs
+++ b/crates/coordination/src/coordinator/cell.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// What all grants take together; while borrowers leave it may be more
+    /// than the worker has.
+    #[must_use]
+    pub const fn used(&self) -> Capacity {
+        self.used
+    }
+
     /// What is granted here.
     #[must_use]
     pub const fn runs(&self) -> &BTreeMap<Run, Booked> {
--- a/crates/coordination/src/coordinator/guarantee.rs
+++ b/crates/coordination/src/coordinator/guarantee.rs
@@ -41,9 +41,31 @@
     accelerators: u32,
 }
 
-/// How many accelerators of idle guarantees a packing serves.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Packed(pub u32);
+/// How many accelerators of idle guarantees can be served.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Packed {
+    /// By the workers as they are.
+    pub now: u32,
+    /// By those that are left if the worst rack is lost.
+    pub without_a_rack: u32,
+}
+
+impl Packed {
+    /// Whether this serves all that `wanted` does.
+    #[must_use]
+    pub const fn serves(self, wanted: Self) -> bool {
+        self.now >= wanted.now && self.without_a_rack >= wanted.without_a_rack
+    }
+
+    /// What must still be served once so much of it is taken.
+    #[must_use]
+    pub const fn less(self, taken: u32) -> Self {
+        Self {
+            now: self.now.saturating_sub(taken),
+            without_a_rack: self.without_a_rack.saturating_sub(taken),
+        }
+    }
+}
 
 /// A shape that does not pack.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -172,7 +194,8 @@
     }
 
     /// How much idle guarantee packs into the cell around the grants that
-    /// can't be reclaimed, once `more` is granted and `claim` is taken.
+    /// can't be reclaimed, once `more` is granted and `claim` is taken; also
+    /// if any one rack is lost then.
     #[must_use]
     pub fn pack(
         &self,
@@ -180,12 +203,27 @@
         more: &[(usize, Capacity)],
         claim: Option<&Claim>,
     ) -> Packed {
-        let mut rooms = rooms(cell, View::Firm);
+        let mut left = rooms(cell, View::Firm);
         for (i, need) in more {
-            rooms[*i] = rooms[*i].minus(*need);
+            left[*i] = left[*i].minus(*need);
+        }
+        let total = |mut rooms: Vec<Capacity>| -> u32 {
+            let served = self.serve(cell, &mut rooms, claim);
+            served.iter().map(|s| s.1).sum()
+        };
+        let racks = cell.groups(Adjacency::Rack);
+        let worst = racks.iter().map(|rack| {
+            let mut rooms = left.clone();
+            for i in rack {
+                rooms[*i] = Capacity::default();
+            }
+            total(rooms)
+        });
+        let without_a_rack = worst.min().unwrap_or(0);
+        Packed {
+            now: total(left),
+            without_a_rack,
         }
-        let served = self.serve(cell, &mut rooms, claim);
-        Packed(served.iter().map(|s| s.1).sum())
     }
 
     /// The shapes that would not pack into the empty cell.
--- a/crates/coordination/src/coordinator/job_state.rs
+++ b/crates/coordination/src/coordinator/job_state.rs
@@ -7,7 +7,7 @@
 
 use figrill_state::{
     error::Kind,
-    job::{Job, Outcome},
+    job::{Job, JobId, Outcome},
 };
 
 use crate::message::{Band, Dispatched, Header, Member, Run};
@@ -25,6 +25,8 @@
     pub band: Band,
     /// When it was placed.
     pub placed: Duration,
+    /// The gang whose reserved workers it fills until that can start.
+    pub under: Option<JobId>,
 }
 
 impl Booking {
@@ -115,6 +117,8 @@
     pub watchers: BTreeSet<u64>,
     /// Attempts that may have run and failed.
     pub failures: u32,
+    /// Times that it was stopped to return borrowed capacity.
+    pub reclaims: u32,
     /// Workers on which it failed.
     pub excluded: BTreeSet<String>,
     /// What stopped attempts left, by rank.
@@ -186,4 +190,6 @@
     pub claim: Option<super::guarantee::Claim>,
     /// Borrowers that must leave first.
     pub victims: BTreeSet<Run>,
+    /// The gang whose reserved workers it fills until that can start.
+    pub under: Option<JobId>,
 }
--- a/crates/coordination/src/coordinator/jobs.rs
+++ b/crates/coordination/src/coordinator/jobs.rs
@@ -22,15 +22,16 @@
     job_state::{JobState, Phase},
     learn::KindId,
     placement,
-    queue::{Lane, Rank},
+    queue::Rank,
 };
 
+/// How long after its start a coordinator may still learn of workers that
+/// have been there all along.
+const SETTLE: Duration = Duration::from_secs(4);
+
 /// Time between two tries to write an outcome to the store.
 const SAVE_AGAIN: Duration = Duration::from_secs(2);
 
-/// How long a waiting long job stays behind short ones.
-const AGED_AFTER: Duration = Duration::from_mins(30);
-
 impl Coordinator {
     pub(super) fn entry(
         &mut self,
@@ -99,6 +100,7 @@
             submitted: now.saturating_sub(age),
             watchers: BTreeSet::from([from]),
             failures: 0,
+            reclaims: 0,
             excluded: BTreeSet::new(),
             checkpoints: BTreeMap::new(),
             cancelled: None,
@@ -112,7 +114,7 @@
             self.end_not_run(now, id, kind);
             return;
         }
-        self.enqueue(now, id);
+        self.enqueue(id);
         self.note(Code::JobQueued, id, "");
         self.tell(id, from);
     }
@@ -128,13 +130,7 @@
         if self.queue.len_of(&header.workspace) >= limit {
             return Some(Kind::QueueFull);
         }
-        // Before the workers have reported, nothing is known of what fits.
-        let settled = now >= self.rebuild_until;
-        let workers = !self.cell.nodes().is_empty();
-        if settled
-            && workers
-            && !placement::fits_empty(&self.cell, &header.shape, |_| true)
-        {
+        if self.never_fits(now, state) {
             return Some(Kind::NeverFits);
         }
         let job = state.job.as_ref()?;
@@ -143,16 +139,24 @@
         late.then_some(Kind::DeadlineUnreachable)
     }
 
+    /// Whether no workers, even empty, could hold a job. Nothing is known of
+    /// that until all agents have had time to report.
+    fn never_fits(&self, now: Duration, state: &JobState) -> bool {
+        let shape = &state.header.shape;
+        now >= self.rebuild_until + SETTLE
+            && !self.cell.nodes().is_empty()
+            && !placement::fits_empty(&self.cell, shape, |_| true)
+    }
+
     /// Puts a job into the queue by what is known of it now.
-    pub(super) fn enqueue(&mut self, now: Duration, id: JobId) {
+    pub(super) fn enqueue(&mut self, id: JobId) {
         let Some(state) = self.jobs.get(&id) else {
             return;
         };
         let deadline = state.job.as_ref().and_then(|j| j.deadline);
-        let aged = now.saturating_sub(state.submitted) >= AGED_AFTER;
         let rank = Rank {
             class: state.header.class,
-            lane: if aged { Lane::Short } else { self.lane(state) },
+            lane: self.lane(state),
             deadline: deadline.map_or(Duration::MAX, |d| state.submitted + d),
             submitted: state.submitted,
             job: id,
@@ -419,8 +423,8 @@
             self.end_waiting(now, job, Kind::QueueTimeout);
         } else if !self.can_meet_deadline(now, state) {
             self.end_waiting(now, job, Kind::DeadlineUnreachable);
-        } else if waited >= AGED_AFTER {
-            self.enqueue(now, job);
+        } else if self.never_fits(now, state) {
+            self.end_waiting(now, job, Kind::NeverFits);
         }
     }
 
@@ -473,6 +477,7 @@
             submitted: now,
             watchers: BTreeSet::from([from]),
             failures: 0,
+            reclaims: 0,
             excluded: BTreeSet::new(),
             checkpoints: BTreeMap::new(),
             cancelled: None,
--- a/crates/coordination/src/coordinator/queue.rs
+++ b/crates/coordination/src/coordinator/queue.rs
@@ -10,7 +10,7 @@
 /// Short work goes before long work of the same class.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Lane {
-    /// Work that ends soon, and work that has waited long enough.
+    /// Work that ends soon.
     Short,
     /// Work that does not.
     Long,
@@ -79,11 +79,19 @@
         self.workspaces.get(workspace).map_or(0, BTreeSet::len)
     }
 
-    /// Each workspace's first `depth` jobs in order.
+    /// Each workspace's first `depth` jobs of each lane in order, so that
+    /// however much waits in one lane, the other is looked at.
     #[must_use]
     pub fn heads(&self, depth: usize) -> BTreeMap<String, Vec<JobId>> {
+        let of = |queue: &BTreeSet<Rank>, lane: Lane| -> Vec<Rank> {
+            let lane = queue.iter().filter(|rank| rank.lane == lane);
+            lane.take(depth).copied().collect()
+        };
         let heads = |queue: &BTreeSet<Rank>| {
-            queue.iter().take(depth).map(|rank| rank.job).collect()
+            let mut ranks = of(queue, Lane::Short);
+            ranks.extend(of(queue, Lane::Long));
+            ranks.sort_unstable();
+            ranks.into_iter().map(|rank| rank.job).collect()
         };
         let all = self.workspaces.iter();
         all.map(|(name, queue)| (name.clone(), heads(queue)))
--- a/crates/coordination/src/coordinator/rebuild.rs
+++ b/crates/coordination/src/coordinator/rebuild.rs
@@ -208,6 +208,7 @@
             members: grant.members,
             band,
             placed,
+            under: None,
         };
         self.adopt_run(run, grant.header, &booking);
     }
@@ -244,6 +245,7 @@
                 submitted: booking.placed,
                 watchers: BTreeSet::new(),
                 failures: 0,
+                reclaims: 0,
                 excluded: BTreeSet::new(),
                 checkpoints: BTreeMap::new(),
                 cancelled: None,
@@ -279,6 +281,7 @@
                 members: Vec::new(),
                 band: header.band,
                 placed: now,
+                under: None,
             };
             self.adopt_run(run, header, &booking);
         }
--- a/crates/coordination/src/coordinator/schedule.rs
+++ b/crates/coordination/src/coordinator/schedule.rs
@@ -24,6 +24,7 @@
     cell::{Booked, View},
     guarantee::{Claim, Packed},
     job_state::{Choice, JobState, Phase},
+    learn::KindId,
     placement::{self, Placement},
     queue::Lane,
 };
@@ -35,7 +36,13 @@
 pub const RESERVE_AFTER: Duration = Duration::from_secs(20);
 
 /// The most borrowers that one tick looks at.
-const PROMOTIONS: usize = 32;
+const PROMOTIONS: usize = 4;
+
+/// Accelerators left for short work while there is none.
+const SPARE: u32 = 2;
+
+/// The part of the short demand that fades with each tick.
+const SHORT_DECAY: u32 = 600;
 
 /// Workers kept for a gang that has waited long.
 #[derive(Clone, Debug)]
@@ -53,6 +60,31 @@
     used: BTreeMap<String, u32>,
     long: u32,
     all: u32,
+    /// Idle guarantee that packs now.
+    packed: Packed,
+    /// Kinds of jobs that found no place: others of the same kind need not
+    /// look, because a pass only fills workers.
+    hopeless: Vec<Wish>,
+}
+
+/// All that a job's place depends on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Wish {
+    workspace: String,
+    shape: Shape,
+    repeatable: bool,
+    kind: KindId,
+}
+
+impl Wish {
+    fn new(state: &JobState) -> Self {
+        Self {
+            workspace: state.header.workspace.clone(),
+            shape: state.header.shape,
+            repeatable: state.header.repeatable,
+            kind: state.kind,
+        }
+    }
 }
 
 impl Coordinator {
@@ -129,6 +161,8 @@
             used,
             long,
             all: self.cell.accelerators(),
+            packed: self.guarantees.pack(&self.cell, &[], None),
+            hopeless: Vec::new(),
         }
     }
 
@@ -167,11 +201,14 @@
         let shape = state.header.shape;
         let claimed = claim_size(&shape, claim.as_ref());
         let own = claim.filter(|claim| {
-            let wanted = Packed(before.0.saturating_sub(claimed));
+            let wanted = before.less(claimed);
             let packed = self.guarantees.pack(&self.cell, &needs, Some(claim));
-            packed >= wanted
+            packed.serves(wanted)
         });
-        let firm = || self.guarantees.pack(&self.cell, &needs, None) >= before;
+        let firm = || {
+            let packed = self.guarantees.pack(&self.cell, &needs, None);
+            packed.serves(before)
+        };
         let band = match own {
             Some(claim) => {
                 self.guarantees.claim(run, claim);
@@ -229,14 +266,28 @@
         if !state.is_queued() || now < state.not_before {
             return false;
         }
+        let reserved = self.reservation.as_ref().is_some_and(|r| r.job == job);
+        let ordinary = state.excluded.is_empty() && !reserved;
+        let wish = Wish::new(state);
+        if ordinary && shares.hopeless.contains(&wish) {
+            return false;
+        }
         let long = self.lane(state) == Lane::Long;
         let total = state.header.shape.total();
         let workspace = state.header.workspace.clone();
-        let full = long && self.long_share_is_full(shares, total);
-        let Some(choice) = self.choose(now, state, full) else {
+        // A reserved gang has had its workers drained for it already.
+        let reserved = self.reservation.as_ref().is_some_and(|r| r.job == job);
+        let full = long && !reserved && self.long_share_is_full(shares, total);
+        let packed = shares.packed;
+        let Some(choice) = self.choose(now, state, reserved, full, packed)
+        else {
+            if ordinary {
+                shares.hopeless.push(wish);
+            }
             return false;
         };
         self.dispatch(now, job, choice);
+        shares.packed = self.guarantees.pack(&self.cell, &[], None);
         *shares.used.entry(workspace).or_default() += total;
         if long {
             shares.long += total;
@@ -244,11 +295,26 @@
         true
     }
 
-    /// Long work may fill only its share, so that short work finds room;
-    /// one gang may exceed it if there is no other long work.
+    /// Long work leaves room for short work: twice what short work has used
+    /// of late, and at most what the settings keep from long work. One gang
+    /// may exceed that if there is no other long work.
     fn long_share_is_full(&self, shares: &Shares, more: u32) -> bool {
-        let limit = shares.all * self.long_share / 100;
-        shares.long > 0 && shares.long + more > limit
+        let most = shares.all * (100 - self.long_share) / 100;
+        let room = (self.short_demand * 2 / 100 + SPARE).min(most);
+        shares.long > 0 && shares.long + more > shares.all - room
+    }
+
+    /// Follows how many accelerators short work uses, in hundredths: up at
+    /// once, down by a part with each tick.
+    pub(super) fn watch_short_demand(&mut self, now: Duration) {
+        let short: u32 = self
+            .active_jobs()
+            .filter_map(|state| Some((state, state.booking()?.placed)))
+            .filter(|(s, placed)| !self.is_long_running(now, s, *placed))
+            .map(|(state, _)| state.header.shape.total() * 100)
+            .sum();
+        let decayed = self.short_demand - self.short_demand / SHORT_DECAY;
+        self.short_demand = short.max(decayed);
     }
 
     /// Chooses a place for a waiting job.
@@ -256,34 +322,83 @@
         &self,
         now: Duration,
         state: &JobState,
+        reserved: bool,
         long_share_full: bool,
+        before: Packed,
     ) -> Option<Choice> {
         let shape = &state.header.shape;
-        let before = self.guarantees.pack(&self.cell, &[], None);
         let claim = self.claim_of(state);
         if claim.is_some()
             && let Some(choice) = self.choose_own(state, claim, before)
         {
             return Some(choice);
         }
-        if long_share_full {
+        if reserved && let Some(choice) = self.choose_reserved(state, before) {
+            return Some(choice);
+        }
+        let enough = self.cell.free_accelerators() >= shape.total();
+        if long_share_full || !enough {
             return None;
         }
-        let allowed =
-            |i: usize| self.allows(state, i) && !self.reserves(now, state, i);
-        let free =
-            placement::candidates(&self.cell, shape, View::Free, allowed);
-        let firm = free
+        let free = |allowed: &dyn Fn(usize) -> bool| {
+            placement::candidates(&self.cell, shape, View::Free, allowed)
+        };
+        let unreserved = free(&|i: usize| {
+            self.allows(state, i) && !self.reserves(now, state, i)
+        });
+        let firm = unreserved
             .iter()
             .find(|placement| self.keeps(shape, placement, None, before));
         if let Some(placement) = firm {
             return Some(plain(placement.clone(), Band::Unpromised));
         }
-        let placement = free.into_iter().next()?;
-        state
-            .header
-            .repeatable
-            .then(|| plain(placement, Band::Borrowed))
+        if !state.header.repeatable {
+            return None;
+        }
+        // Also workers that are kept for a gang: it takes them back when it
+        // can start.
+        let placement = unreserved.into_iter().next().or_else(|| {
+            free(&|i: usize| self.allows(state, i)).into_iter().next()
+        })?;
+        Some(plain(placement, Band::Borrowed))
+    }
+
+    /// The place that was kept for a reserved gang, once borrowers are all
+    /// that is in its way.
+    fn choose_reserved(
+        &self,
+        state: &JobState,
+        before: Packed,
+    ) -> Option<Choice> {
+        let reservation = self.reservation.as_ref()?;
+        let shape = &state.header.shape;
+        let kept =
+            |i: usize| reservation.nodes.contains(&i) && self.allows(state, i);
+        let found = placement::candidates(&self.cell, shape, View::Firm, kept);
+        let (placement, victims) = found
+            .into_iter()
+            .filter_map(|p| {
+                let fills = |run| self.fills(run, reservation.job);
+                let victims = self.victims(shape, &p, fills)?;
+                Some((p, victims))
+            })
+            .min_by_key(|(_, victims)| self.cost(victims))?;
+        let firm = self.keeps(shape, &placement, None, before);
+        if !firm && !state.header.repeatable {
+            return None;
+        }
+        let band = if firm {
+            Band::Unpromised
+        } else {
+            Band::Borrowed
+        };
+        Some(Choice {
+            placement,
+            band,
+            claim: None,
+            victims,
+            under: None,
+        })
     }
 
     /// A place on the workspace's own guarantee: free if there is one, or
@@ -297,7 +412,11 @@
         let shape = &state.header.shape;
         let allowed = |i: usize| self.allows(state, i);
         let claimed = claim_size(shape, claim.as_ref());
-        let after = Packed(before.0.saturating_sub(claimed));
+        // A claim is never held up by a rack that might be lost.
+        let after = Packed {
+            without_a_rack: 0,
+            ..before.less(claimed)
+        };
         let keeps =
             |p: &Placement| self.keeps(shape, p, claim.as_ref(), after);
         let free =
@@ -309,9 +428,9 @@
             None => firm()
                 .into_iter()
                 .filter(|p| keeps(p))
-                .map(|p| {
-                    let victims = self.victims(shape, &p);
-                    (p, victims)
+                .filter_map(|p| {
+                    let victims = self.victims(shape, &p, |_| true)?;
+                    Some((p, victims))
                 })
                 .min_by_key(|(_, v)| self.cost(v))?,
         };
@@ -320,6 +439,7 @@
             band: Band::Own,
             claim,
             victims,
+            under: None,
         })
     }
 
@@ -332,51 +452,89 @@
         wanted: Packed,
     ) -> bool {
         let more: Vec<(usize, Capacity)> = placement.needs(shape).collect();
-        self.guarantees.pack(&self.cell, &more, claim) >= wanted
+        self.guarantees
+            .pack(&self.cell, &more, claim)
+            .serves(wanted)
     }
 
-    /// The cheapest borrowers whose end makes room for a placement.
-    fn victims(&self, shape: &Shape, placement: &Placement) -> BTreeSet<Run> {
+    /// The cheapest borrowers, of those that `may` leave, whose end makes
+    /// room for a placement; `None` if they are not enough. Those that leave
+    /// already are waited for first: a place that was booked while they
+    /// leave takes more than the worker has until they are gone.
+    fn victims(
+        &self,
+        shape: &Shape,
+        placement: &Placement,
+        may: impl Fn(Run) -> bool,
+    ) -> Option<BTreeSet<Run>> {
+        let leaving = self.leaving();
         let mut victims = BTreeSet::new();
         for (i, need) in placement.needs(shape) {
             let node = &self.cell.nodes()[i];
-            let mut room = node.room(View::Free);
+            let mut used = node.used().plus(need);
             for run in &victims {
                 if let Some(booked) = node.runs().get(run) {
-                    room = room.plus(booked.need);
+                    used = used.minus(booked.need);
                 }
             }
-            let mut borrowers: Vec<(u64, Run)> = node
+            let mut borrowers: Vec<(bool, u64, Run)> = node
                 .runs()
                 .iter()
-                .filter(|(_, b)| b.band == Band::Borrowed)
-                .map(|(run, _)| (self.cost_of(*run), *run))
-                .filter(|(_, run)| !victims.contains(run))
+                .filter(|(run, b)| {
+                    b.band == Band::Borrowed
+                        && !victims.contains(run)
+                        && may(**run)
+                })
+                .map(|(run, _)| {
+                    (!leaving.contains(run), self.cost_of(*run), *run)
+                })
                 .collect();
             borrowers.sort_unstable();
-            for (_, run) in borrowers {
-                if room.fits(need) {
+            for (_, _, run) in borrowers {
+                if node.capacity.fits(used) {
                     break;
                 }
-                room = room.plus(node.runs()[&run].need);
+                used = used.minus(node.runs()[&run].need);
                 victims.insert(run);
             }
+            if !node.capacity.fits(used) {
+                return None;
+            }
+        }
+        Some(victims)
+    }
+
+    /// Whether a run fills workers that are reserved for a gang.
+    fn fills(&self, run: Run, gang: JobId) -> bool {
+        let state = self.jobs.get(&run.job);
+        let booking = state.and_then(JobState::booking);
+        booking.is_some_and(|b| b.run == run && b.under == Some(gang))
+    }
+
+    /// Borrowers that were asked to leave and have not left yet.
+    fn leaving(&self) -> BTreeSet<Run> {
+        let mut leaving = BTreeSet::new();
+        for state in self.active_jobs() {
+            if let Phase::Reclaiming { victims, .. } = &state.phase {
+                leaving.extend(victims.iter().copied());
+            }
         }
-        victims
+        leaving
     }
 
     fn cost(&self, victims: &BTreeSet<Run>) -> u64 {
         victims.iter().map(|run| self.cost_of(*run)).sum()
     }
 
-    /// The work that is lost or moved: accelerators times the time run.
+    /// What it costs to move a borrower: with a checkpoint no work is lost,
+    /// but its accelerators idle for a while, and one that was moved before
+    /// should not be moved again and again.
     fn cost_of(&self, run: Run) -> u64 {
         let Some(state) = self.jobs.get(&run.job) else {
             return 0;
         };
-        let placed = state.booking().map_or(self.now, |b| b.placed);
-        let elapsed = self.now.saturating_sub(placed).as_secs() + 1;
-        elapsed * u64::from(state.header.shape.total())
+        let total = u64::from(state.header.shape.total());
+        total * (1 + u64::from(state.reclaims))
     }
 
     fn allows(&self, state: &JobState, i: usize) -> bool {
@@ -419,16 +577,31 @@
         }
     }
 
+    /// A reservation stays on its workers, so that what drains there is not
+    /// lost, until the gang has started or a worker is out of use.
     fn refresh_reservation(&mut self, now: Duration) {
-        let Some(reservation) = &self.reservation else {
+        let Some(reservation) = self.reservation.take() else {
             return;
         };
         let job = reservation.job;
-        let waits = self.jobs.get(&job).filter(|s| s.is_queued());
-        match waits.and_then(|s| self.reserve(now, job, &s.header.shape)) {
-            Some(fresh) => self.reservation = Some(fresh),
-            None => self.reservation = None,
-        }
+        let Some(state) = self.jobs.get(&job).filter(|s| s.is_queued()) else {
+            return;
+        };
+        let nodes = self.cell.nodes();
+        let usable = reservation.nodes.iter().all(|i| nodes[*i].usable);
+        self.reservation = if usable {
+            let group: Vec<usize> =
+                reservation.nodes.iter().copied().collect();
+            let ends = self.expected_ends(now);
+            let start = self.earliest(now, job, state, &group, &ends);
+            let start = start.map_or(reservation.start, |(start, _)| start);
+            Some(Reservation {
+                start,
+                ..reservation
+            })
+        } else {
+            self.reserve(now, job, &state.header.shape)
+        };
     }
 
     /// Keeps workers for a gang that could not be placed, if it has waited
@@ -462,7 +635,7 @@
         let ends = self.expected_ends(now);
         let groups = self.cell.groups(shape.adjacency).iter();
         let best = groups
-            .filter_map(|group| self.earliest(now, state, group, &ends))
+            .filter_map(|group| self.earliest(now, job, state, group, &ends))
             .min_by_key(|(start, _)| *start);
         let (start, nodes) = best?;
         Some(Reservation { job, nodes, start })
@@ -483,10 +656,12 @@
         ends
     }
 
-    /// When a group has room for a gang, and on which workers.
+    /// When a group has room for a gang, and on which workers; what fills
+    /// them under its reservation leaves when it is asked to.
     fn earliest(
         &self,
         now: Duration,
+        job: JobId,
         state: &JobState,
         group: &[usize],
         ends: &BTreeMap<Run, Duration>,
@@ -500,11 +675,18 @@
             .collect();
         let mut rooms: BTreeMap<usize, Capacity> = usable
             .iter()
-            .map(|i| (*i, nodes[*i].room(View::Free)))
+            .map(|i| (*i, nodes[*i].room(View::Empty)))
             .collect();
         let mut leaving: Vec<(Duration, usize, Capacity)> = Vec::new();
         for &i in &usable {
-            for (run, booked) in nodes[i].runs() {
+            let staying = nodes[i]
+                .runs()
+                .iter()
+                .filter(|(run, _)| !self.fills(**run, job));
+            for (run, booked) in staying {
+                if let Some(room) = rooms.get_mut(&i) {
+                    *room = room.minus(booked.need);
+                }
                 let end = ends.get(run).copied().unwrap_or(now);
                 leaving.push((end, i, booked.need));
             }
@@ -603,6 +785,7 @@
         band,
         claim: None,
         victims: BTreeSet::new(),
+        under: None,
     }
 }
 
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -263,8 +263,21 @@
     ///
     /// If it can't be started.
     pub fn start_entry(&mut self, i: usize) -> io::Result<()> {
+        self.start_entry_with(i, "")
+    }
+
+    /// The same with more lines in its settings file.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started.
+    pub fn start_entry_with(
+        &mut self,
+        i: usize,
+        more: &str,
+    ) -> io::Result<()> {
         let name = format!("entry-{i}");
-        let (path, announced) = self.write_settings(&name, "")?;
+        let (path, announced) = self.write_settings(&name, more)?;
         let node = self.start_node("entry", &name, path, &announced)?;
         put(&mut self.entries, i, node);
         Ok(())
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,136 @@
+//! The command line as people and scripts use it.
+
+use std::process::{Command, Output};
+
+use figrill_standin::site::OPERATOR;
+
+use crate::util::{figrill, plan};
+
+fn run(args: &[&str]) -> Output {
+    Command::new(figrill())
+        .args(args)
+        .env_remove("FIGRILL_ENTRY")
+        .env_remove("FIGRILL_TOKEN")
+        .output()
+        .expect("it runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn mistakes_name_the_nearest_valid_word() {
+    struct Case {
+        args: &'static [&'static str],
+        says: &'static str,
+    }
+    let cases = [
+        Case {
+            args: &["stats"],
+            says: "did you mean status?",
+        },
+        Case {
+            args: &["settings", "aply"],
+            says: "settings apply",
+        },
+        Case {
+            args: &["status", "--jsn"],
+            says: "did you mean --json?",
+        },
+        Case {
+            args: &["status", "--base", "1"],
+            says: "no flag --base",
+        },
+        Case {
+            args: &["dev"],
+            says: "dev needs --job",
+        },
+        Case {
+            args: &["settings", "check"],
+            says: "takes 1 operands",
+        },
+        Case {
+            args: &["timeline", "--format", "pdf"],
+            says: "write text, json or html",
+        },
+    ];
+    for case in cases {
+        let output = run(case.args);
+        let err = text(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{err}");
+        assert!(err.contains(case.says), "{:?}: {err}", case.args);
+    }
+}
+
+#[test]
+fn every_command_has_help_with_an_example() {
+    let overview = text(&run(&["--help"]).stdout);
+    let listed = overview.split("COMMANDS").nth(1).unwrap_or_default();
+    let listed = listed.split("\n\n").next().unwrap_or_default();
+    let mut seen = 0;
+    for line in listed.lines().filter(|l| l.starts_with("  ")) {
+        let path: Vec<&str> = line[..22].split_whitespace().collect();
+        let mut args = path.clone();
+        args.push("--help");
+        let help = text(&run(&args).stdout);
+        assert!(help.contains("EXAMPLE"), "{path:?}: {help}");
+        seen += 1;
+    }
+    assert!(seen >= 15, "{overview}");
+}
+
+#[test]
+fn dev_runs_the_rounds_and_checks_the_whole_answer() {
+    let output = run(&["dev", "--job", "examples/rounds.json"]);
+    let out = text(&output.stdout);
+    assert!(output.status.success(), "{out} {}", text(&output.stderr));
+    assert!(out.contains("4 parts"), "{out}");
+    assert!(
+        out.contains("checked: whole answer, digest, 4 rounds"),
+        "{out}"
+    );
+}
+
+site_test!(
+    an_operator_follows_a_job_by_the_command_line,
+    plan(),
+    |site| {
+        let entry = format!("http://{}", site.entries[0].http);
+        let token = site.dir.join("token");
+        std::fs::write(&token, OPERATOR).expect("a token");
+        let token = token.display().to_string();
+        let with = |args: &[&str]| {
+            let mut args = args.to_vec();
+            args.extend(["--entry", &entry, "--token-file", &token]);
+            run(&args)
+        };
+        let job = site.dir.join("job.json");
+        let body = figrill_standin::caller::echo_job("a", 2, 5, "x");
+        std::fs::write(&job, body.to_string()).expect("a job");
+        let job = job.display().to_string();
+        let output = with(&["job", "submit", &job, "--json"]);
+        assert!(output.status.success(), "{}", text(&output.stderr));
+        let body: serde_json::Value =
+            serde_json::from_slice(&output.stdout).expect("JSON");
+        let id = body["job"].as_str().expect("an id").to_owned();
+        assert!(with(&["job", "show", &id]).status.success());
+        let status = text(&with(&["status"]).stdout);
+        assert!(status.contains("workers       2"), "{status}");
+        let line = text(&with(&["timeline", "--job", &id]).stdout);
+        for event in ["JobAccepted", "JobPlaced", "PartStarted", "GangDone"] {
+            assert!(line.contains(event), "{event}: {line}");
+        }
+        let html = text(&with(&["timeline", "--format", "html"]).stdout);
+        assert!(
+            html.starts_with("<!doctype html>") && html.contains("agent-0")
+        );
+        let shown = with(&["settings", "show", "--effective", "workspace/a"]);
+        assert!(text(&shown.stdout).contains("built in"));
+        let history = text(&with(&["settings", "history"]).stdout);
+        assert!(history.contains("bootstrap"), "{history}");
+        let unknown = "0".repeat(32);
+        let output = with(&["job", "show", &unknown]);
+        assert_eq!(output.status.code(), Some(3), "{}", text(&output.stdout));
+    }
+);
--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,36 @@
+//! Pages that must say what the code says.
+
+use figrill_state::{event::Code, settings::schema};
+
+fn read(path: &str) -> String {
+    let root = env!("CARGO_MANIFEST_DIR");
+    std::fs::read_to_string(format!("{root}/{path}")).expect("the page")
+}
+
+#[test]
+fn the_catalogue_lists_every_event() {
+    let page = read("docs/EVENTS.md");
+    let mut last = 0;
+    for code in Code::ALL {
+        assert!(code.number() > last, "{} is out of order", code.name());
+        last = code.number();
+        let row = format!(
+            "| E{} | {} | {} | {} |",
+            code.number(),
+            code.name(),
+            code.level().as_str().to_lowercase(),
+            code.help()
+        );
+        assert!(page.contains(&row), "docs/EVENTS.md lacks: {row}");
+    }
+    let rows = page.lines().filter(|l| l.starts_with("| E")).count();
+    assert_eq!(rows, Code::ALL.len());
+}
+
+#[test]
+fn the_operators_page_has_the_reference_of_settings() {
+    let page = read("docs/OPERATING.md");
+    for row in schema::reference().lines() {
+        assert!(page.contains(row), "docs/OPERATING.md lacks: {row}");
+    }
+}
--- /dev/null
+++ b/tests/promises.rs
@@ -0,0 +1,559 @@
+//! The promises to users, each against what fails.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use figrill_standin::{
+    caller::{Answer, Caller, echo_job},
+    process::wait_for,
+    site::{OPERATOR, Site},
+};
+use serde_json::{Value, json};
+
+use crate::util::plan;
+
+/// The reclaim window of the tests that reclaim.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// How long a part may outlive its gang: the lead or the member notices
+/// within one run lease, another passes until the upstream's lease lapses.
+const OUTLIVES: Duration = Duration::from_millis(6500);
+
+/// An upstream that has left gets no new work after this.
+const LEFT: Duration = Duration::from_secs(4);
+
+const GUARANTEE: &str = "[defaults]\nreclaim_window = 10s\n\
+    [workspace/a]\nguarantee = 1x8\n[workspace/b]\n";
+
+/// Fills the whole site with borrowers of workspace `b` and returns them.
+fn fill(site: &Site, http: &str, jobs: usize) -> Vec<String> {
+    let mut ids = Vec::new();
+    for _ in 0..jobs {
+        let mut job = echo_job("b", 1, 120_000, "long");
+        job["shape"]["accelerators"] = json!(8);
+        job["wait_s"] = json!(0);
+        let answer = site.operator.submit(http, &job);
+        assert_eq!(answer.status, 202, "{}", answer.text);
+        ids.push(answer.job().to_owned());
+    }
+    wait_for("all borrowers", Duration::from_secs(15), || {
+        (site.starts().len() == jobs).then_some(())
+    });
+    ids
+}
+
+fn claim(site: &Site, http: &str) -> Duration {
+    let mut job = echo_job("a", 1, 0, "mine");
+    job["shape"]["accelerators"] = json!(8);
+    job["key"] = json!(format!("claim-{:?}", Instant::now()));
+    let start = Instant::now();
+    let entries = site.http();
+    let answer = site.operator.submit(http, &job);
+    let answer = site.operator.follow(&entries, answer);
+    assert_eq!(answer.outcome(), "done", "{}", answer.text);
+    start.elapsed()
+}
+
+site_test!(
+    a_guarantee_is_reclaimed_while_borrowers_run,
+    { plan().settings(GUARANTEE) },
+    |site| {
+        let http = site.entries[0].http.clone();
+        fill(&site, &http, 2);
+        let took = claim(&site, &http);
+        assert!(took < WINDOW, "{took:?}");
+        // The borrower goes on where it was stopped.
+        wait_for("the borrower again", Duration::from_secs(15), || {
+            (site.starts().len() == 4).then_some(())
+        });
+    }
+);
+
+site_test!(
+    a_guarantee_is_reclaimed_without_the_store,
+    { plan().settings(GUARANTEE) },
+    |site| {
+        let http = site.entries[0].http.clone();
+        fill(&site, &http, 2);
+        site.store_fault("down=1");
+        let mut job = echo_job("a", 1, 0, "mine");
+        job["shape"]["accelerators"] = json!(8);
+        let start = Instant::now();
+        let answer = site.operator.submit(&http, &job);
+        assert_eq!(answer.outcome(), "done", "{}", answer.text);
+        assert!(start.elapsed() < WINDOW);
+    }
+);
+
+site_test!(
+    a_guarantee_is_reclaimed_though_a_borrowers_agent_is_frozen,
+    { plan().agents(3).settings(GUARANTEE) },
+    |site| {
+        let http = site.entries[0].http.clone();
+        fill(&site, &http, 3);
+        site.agents[0].process.freeze();
+        let took = claim(&site, &http);
+        site.agents[0].process.thaw();
+        assert!(took < WINDOW, "{took:?}");
+    }
+);
+
+site_test!(
+    a_guarantee_is_reclaimed_though_the_coordinator_was_killed,
+    { plan().entries(2).settings(GUARANTEE) },
+    |mut site| {
+        let at = site.coordinator().expect("a coordinator");
+        let other = site.entries[1 - at].http.clone();
+        fill(&site, &other, 2);
+        site.entries[at].process.kill();
+        let took = claim(&site, &other);
+        // The store's lease of the dead coordinator lapses first.
+        assert!(took < WINDOW + Duration::from_secs(5), "{took:?}");
+    }
+);
+
+/// From the time line: for each attempt, when each part started and ended.
+fn parts(site: &Site) -> BTreeMap<String, Vec<(String, u64)>> {
+    let mut by_attempt: BTreeMap<String, Vec<(String, u64)>> = BTreeMap::new();
+    for event in site.events() {
+        let part = matches!(
+            event.name.as_str(),
+            "PartStarted" | "PartEnded" | "PartStopped"
+        );
+        if part {
+            let attempt = event.detail.split_whitespace().next();
+            let key = format!("{} {}", event.job, attempt.unwrap_or(""));
+            let entry = by_attempt.entry(key).or_default();
+            entry.push((event.name, event.at.ms));
+        }
+    }
+    by_attempt
+}
+
+fn gang(site: &Site, ms: u64) -> String {
+    let mut job = echo_job("a", 3, ms, "gang");
+    job["shape"]["accelerators"] = json!(8);
+    job["wait_s"] = json!(0);
+    let answer = site.operator.submit(&site.entries[0].http, &job);
+    wait_for("the whole gang", Duration::from_secs(15), || {
+        (site.starts().len() == 3).then_some(())
+    });
+    answer.job().to_owned()
+}
+
+/// The index of the agent that leads the gang.
+fn lead(site: &Site) -> usize {
+    let events = site.events();
+    let started = events.iter().find(|e| e.name == "GangStarted");
+    let process = &started.expect("a start").process;
+    process
+        .trim_start_matches("agent-")
+        .parse()
+        .expect("an agent")
+}
+
+site_test!(
+    parts_stop_when_the_lead_is_killed,
+    plan().agents(3),
+    |mut site| {
+        gang(&site, 60_000);
+        let lead = lead(&site);
+        let start = Instant::now();
+        site.agents[lead].process.kill();
+        site.upstreams[lead].process.kill();
+        wait_for("the members to stop", OUTLIVES, || {
+            let stopped = (0..3).filter(|i| *i != lead).all(|i| {
+                let events =
+                    site.operator.get(&site.agents[i].http, "/v1/events");
+                events.text.contains("PartStopped")
+            });
+            stopped.then_some(())
+        });
+        assert!(start.elapsed() < OUTLIVES);
+    }
+);
+
+site_test!(
+    parts_stop_when_a_member_is_frozen,
+    plan().agents(3),
+    |site| {
+        gang(&site, 60_000);
+        let lead = lead(&site);
+        let member = (0..3).find(|i| *i != lead).expect("a member");
+        site.agents[member].process.freeze();
+        let start = Instant::now();
+        wait_for("the others to stop", OUTLIVES, || {
+            let stopped = (0..3).filter(|i| *i != member).all(|i| {
+                let events =
+                    site.operator.get(&site.agents[i].http, "/v1/events");
+                events.text.contains("PartStopped")
+            });
+            stopped.then_some(())
+        });
+        // The frozen agent renews nothing, so its upstream stops by itself.
+        wait_for("the frozen member's part", OUTLIVES, || {
+            let http = &site.upstreams[member].http;
+            let usage = site.operator.get(http, "/v1/usage");
+            (usage.body["tasks"] == 0).then_some(())
+        });
+        assert!(start.elapsed() < OUTLIVES);
+        site.agents[member].process.thaw();
+    }
+);
+
+site_test!(
+    no_part_starts_without_its_whole_gang,
+    plan().agents(3),
+    |site| {
+        // Gangs of three workers' size, with agents frozen at random moments.
+        let stop = Arc::new(AtomicBool::new(false));
+        let answers: Vec<Answer> = thread::scope(|scope| {
+            let caller = scope.spawn(|| {
+                let mut answers = Vec::new();
+                for i in 0..25 {
+                    let mut job = echo_job("a", 3, 10, &format!("g{i}"));
+                    job["shape"]["accelerators"] = json!(8);
+                    answers.push(site.operator.run(&site.http(), &job));
+                }
+                stop.store(true, Ordering::Relaxed);
+                answers
+            });
+            let mut turn = 0;
+            while !stop.load(Ordering::Relaxed) {
+                let agent = &site.agents[turn % 3].process;
+                agent.freeze();
+                thread::sleep(Duration::from_millis(70));
+                agent.thaw();
+                thread::sleep(Duration::from_millis(130));
+                turn += 1;
+            }
+            caller.join().expect("a caller")
+        });
+        assert!(answers.iter().all(|a| a.outcome() == "done"));
+        for (attempt, parts) in parts(&site) {
+            let starts = parts
+                .iter()
+                .filter(|(name, _)| name == "PartStarted")
+                .count();
+            if starts == 3 {
+                continue;
+            }
+            // A gang that lost a part after its start was decided: what ran
+            // of it was stopped within the bound.
+            let first = parts.iter().map(|(_, ms)| *ms).min().expect("a part");
+            let last = parts.iter().map(|(_, ms)| *ms).max().expect("a part");
+            let lived = Duration::from_millis(last - first);
+            assert!(lived < OUTLIVES, "{attempt} {lived:?}");
+        }
+    }
+);
+
+site_test!(
+    each_caller_gets_its_own_whole_answer,
+    { plan().entries(2).agents(3) },
+    |site| {
+        let entries = site.http();
+        let results: Mutex<Vec<(usize, Answer)>> = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            for i in 0..240_usize {
+                let (results, entries) = (&results, &entries);
+                scope.spawn(move || {
+                    let caller = Caller::new(OPERATOR);
+                    let ms = (i as u64 * 37) % 50;
+                    let payload = format!("payload {i} {}", "ž".repeat(i));
+                    let parts = 1 + u32::try_from(i % 4).expect("small");
+                    let mut job = echo_job("a", parts, ms, &payload);
+                    job["wait_s"] = json!(if i % 3 == 0 { 0.0 } else { 20.0 });
+                    let mut order = entries.clone();
+                    order.rotate_left(i % 2);
+                    let answer = caller.run(&order, &job);
+                    results.lock().expect("results").push((i, answer));
+                });
+            }
+        });
+        let results = results.into_inner().expect("results");
+        assert_eq!(results.len(), 240);
+        for (i, answer) in results {
+            assert_eq!(answer.outcome(), "done", "{i}: {}", answer.text);
+            let payload = format!("payload {i} {}", "ž".repeat(i));
+            let parts: Vec<Value> = (0..=i % 4)
+                .map(|rank| json!({ "p": payload, "rank": rank }))
+                .collect();
+            assert_eq!(answer.body["parts"], Value::Array(parts), "{i}");
+        }
+    }
+);
+
+site_test!(
+    not_run_is_true_under_cancels_and_frozen_agents,
+    {
+        plan()
+            .agents(3)
+            .settings("[workspace/a]\nqueue_limit = 40\n")
+    },
+    |site| {
+        let entries = site.http();
+        let over = AtomicBool::new(false);
+        let answers: Mutex<Vec<Answer>> = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            let callers: Vec<_> = (0..200_u64)
+                .map(|i| {
+                    let (answers, entries) = (&answers, &entries);
+                    scope.spawn(move || {
+                        let caller = Caller::new(OPERATOR);
+                        let mut job =
+                            echo_job("a", 1 + (i % 3) as u32, 20, "n");
+                        job["shape"]["accelerators"] = json!(4);
+                        job["repeatable"] = json!(i % 2 == 0);
+                        job["wait_s"] = json!(0);
+                        let mut answer = caller.submit(&entries[0], &job);
+                        if answer.status == 202 && i % 4 == 0 {
+                            let id = answer.job();
+                            let url =
+                                format!("http://{}/v1/jobs/{id}", entries[0]);
+                            answer = caller.call("DELETE", &url, "");
+                        }
+                        let answer = caller.follow(entries, answer);
+                        answers.lock().expect("answers").push(answer);
+                    })
+                })
+                .collect();
+            scope.spawn(|| {
+                let mut turn = 0;
+                while !over.load(Ordering::Relaxed) {
+                    let agent = &site.agents[turn % 3].process;
+                    agent.freeze();
+                    thread::sleep(Duration::from_millis(150));
+                    agent.thaw();
+                    thread::sleep(Duration::from_millis(250));
+                    turn += 1;
+                }
+            });
+            for caller in callers {
+                caller.join().expect("a caller");
+            }
+            over.store(true, Ordering::Relaxed);
+        });
+        let starts = site.starts();
+        let answers = answers.into_inner().expect("answers");
+        assert_eq!(answers.len(), 200);
+        let mut not_run = 0;
+        for answer in answers {
+            assert_ne!(answer.outcome(), "", "{}", answer.text);
+            if answer.outcome() == "not_run" {
+                not_run += 1;
+                let id = answer.job();
+                assert!(!starts.iter().any(|s| s.starts_with(id)), "{id}");
+            }
+        }
+        assert!(not_run > 0);
+    }
+);
+
+/// Starts of rank 0 by job.
+fn starts_by_job(site: &Site) -> BTreeMap<String, usize> {
+    let mut by_job = BTreeMap::new();
+    for start in site.starts() {
+        let mut words = start.split('-');
+        let job = words.next().unwrap_or_default().to_owned();
+        if words.nth(1) == Some("0") {
+            *by_job.entry(job).or_default() += 1;
+        }
+    }
+    by_job
+}
+
+site_test!(
+    a_marked_request_runs_at_most_once,
+    plan().entries(2),
+    |site| {
+        let entries = site.http();
+        let jobs: Mutex<BTreeMap<usize, BTreeSet<String>>> = Mutex::default();
+        thread::scope(|scope| {
+            for i in 0..60_usize {
+                let (jobs, entries) = (&jobs, &entries);
+                scope.spawn(move || {
+                    let caller = Caller::new(OPERATOR);
+                    let key = i / 3;
+                    let mut job = echo_job("a", 1, 30, &format!("k{key}"));
+                    job["key"] = json!(format!("key-{key}"));
+                    job["repeatable"] = json!(false);
+                    let mut order = entries.clone();
+                    order.rotate_left(i % 2);
+                    let answer = caller.run(&order, &job);
+                    assert_eq!(answer.outcome(), "done", "{}", answer.text);
+                    let mut jobs = jobs.lock().expect("jobs");
+                    jobs.entry(key)
+                        .or_default()
+                        .insert(answer.job().to_owned());
+                });
+            }
+        });
+        let jobs = jobs.into_inner().expect("jobs");
+        assert!(jobs.values().all(|ids| ids.len() == 1), "{jobs:?}");
+        let starts = starts_by_job(&site);
+        assert_eq!(starts.len(), 20);
+        assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+        // The same key with another body is a conflict, told at once.
+        let mut job = echo_job("a", 1, 0, "another");
+        job["key"] = json!("key-0");
+        let answer = site.operator.submit(&entries[0], &job);
+        assert_eq!((answer.status, answer.outcome()), (409, "not_run"));
+    }
+);
+
+site_test!(
+    a_marked_request_is_not_run_without_the_store,
+    plan(),
+    |site| {
+        let http = site.entries[0].http.clone();
+        site.store_fault("down=1");
+        let mut job = echo_job("a", 1, 0, "x");
+        job["repeatable"] = json!(false);
+        job["key"] = json!("once");
+        let answer = site.operator.submit(&http, &job);
+        assert_eq!(answer.outcome(), "not_run", "{}", answer.text);
+        assert_eq!(answer.body["reason"], "store_down");
+        assert!(site.starts().is_empty());
+        // Work that may be repeated goes on.
+        let answer = site.operator.run(&[http], &echo_job("a", 2, 0, "y"));
+        assert_eq!(answer.outcome(), "done", "{}", answer.text);
+    }
+);
+
+site_test!(
+    lost_answers_of_the_store_never_double_a_marked_request,
+    { plan() },
+    |site| {
+        let entries = site.http();
+        for i in 0..12 {
+            site.store_fault(&format!("lose={}", 1 + i % 3));
+            let mut job = echo_job("a", 1, 0, &format!("l{i}"));
+            job["repeatable"] = json!(false);
+            job["key"] = json!(format!("lost-{i}"));
+            let mut answer = site.operator.run(&entries, &job);
+            for _ in 0..20 {
+                if answer.outcome() == "done" {
+                    break;
+                }
+                answer = site.operator.run(&entries, &job);
+            }
+            site.store_fault("lose=0");
+        }
+        let starts = starts_by_job(&site);
+        assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+    }
+);
+
+site_test!(an_upstream_that_leaves_gets_no_new_work, plan(), |site| {
+    for how in ["/leave", "/announce?on=0"] {
+        let url = format!("http://{}{how}", site.upstreams[0].http);
+        let _ = site.operator.call("POST", &url, "");
+        thread::sleep(if how == "/leave" {
+            Duration::from_millis(500)
+        } else {
+            LEFT
+        });
+        let starts = || {
+            let http = &site.upstreams[0].http;
+            let body = site.operator.get(http, "/starts").body;
+            body.as_array().map_or(0, Vec::len)
+        };
+        let before = starts();
+        for _ in 0..20 {
+            let job = echo_job("a", 2, 0, "x");
+            let answer = site.operator.run(&site.http(), &job);
+            assert_eq!(answer.outcome(), "done", "{}", answer.text);
+        }
+        assert_eq!(starts(), before, "{how}");
+        let url = format!("http://{}/announce?on=1", site.upstreams[0].http);
+        let _ = site.operator.call("POST", &url, "");
+        site.wait_workers(2);
+    }
+});
+
+site_test!(
+    a_rolling_restart_cuts_off_no_request,
+    { plan().entries(3).agents(3) },
+    |mut site| {
+        let over = Arc::new(AtomicBool::new(false));
+        let live: Arc<Mutex<Vec<String>>> = Arc::new(Mutex::new(site.http()));
+        let callers: Vec<_> = (0..12)
+            .map(|i| {
+                let (over, live) = (over.clone(), live.clone());
+                thread::spawn(move || load(i, &over, &live))
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(500));
+        for i in 0..3 {
+            // The balancer stops sending to an entry that says it drains.
+            live.lock().expect("live").remove(0);
+            site.entries[i].process.ask_to_stop();
+            let code = site.entries[i].process.wait(Duration::from_secs(60));
+            assert_eq!(code, Some(0));
+            site.start_entry(i).expect("an entry");
+            live.lock()
+                .expect("live")
+                .push(site.entries[i].http.clone());
+            site.wait_workers(3);
+        }
+        for i in 0..3 {
+            site.agents[i].process.ask_to_stop();
+            let code = site.agents[i].process.wait(Duration::from_secs(60));
+            assert_eq!(code, Some(0));
+            site.start_agent(i).expect("an agent");
+            site.wait_workers(3);
+        }
+        over.store(true, Ordering::Relaxed);
+        let mut sent = 0;
+        for caller in callers {
+            let jobs = caller.join().expect("a caller");
+            sent += jobs.len();
+        }
+        assert!(sent > 50, "{sent}");
+        // Each request ran once and no more.
+        let starts = starts_by_job(&site);
+        assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+    }
+);
+
+/// Sends jobs until told to stop; each must be done.
+fn load(
+    i: usize,
+    over: &AtomicBool,
+    live: &Mutex<Vec<String>>,
+) -> Vec<String> {
+    let caller = Caller::new(OPERATOR);
+    let mut done = Vec::new();
+    while !over.load(Ordering::Relaxed) {
+        let payload = format!("c{i} {}", done.len());
+        let mut job = echo_job("a", 1 + i as u32 % 2, 60, &payload);
+        job["repeatable"] = json!(i % 2 == 0);
+        let entries = live.lock().expect("live").clone();
+        let mut answer = caller.submit(&entries[i % entries.len()], &job);
+        while answer.status == 202 {
+            let entries = live.lock().expect("live").clone();
+            let path = format!("/v1/jobs/{}?wait_s=5", answer.job());
+            let http = &entries[i % entries.len()];
+            let next = caller.get(http, &path);
+            if next.status != 503 {
+                answer = next;
+            }
+        }
+        // Refused because it drains: truly not run, so it is sent anew.
+        if answer.body["reason"] == "draining" {
+            continue;
+        }
+        assert_eq!(answer.outcome(), "done", "{}", answer.text);
+        assert_eq!(answer.body["parts"][0]["p"], payload.as_str());
+        done.push(answer.job().to_owned());
+    }
+    done
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -4,4 +4,10 @@
 mod macros;
 mod util;
 
+mod callers;
+mod command_line;
+mod docs;
+mod failures;
 mod path;
+mod promises;
+mod settings;
