Never say "not run" of what an earlier coordinator or attempt may have run

Change: an entry says when it submits a job again, and a job whose earlier attempt ran ends as failed or unknown.

--- a/benchsuite/src/policy.rs
+++ b/benchsuite/src/policy.rs
@@ -187,6 +187,7 @@
         let request = JobRequest::Submit {
             job,
             age: Duration::ZERO,
+            tried: false,
         };
         self.step(
             now,
--- a/crates/coordination/src/agent.rs
+++ b/crates/coordination/src/agent.rs
@@ -239,6 +239,12 @@
             && self.endings.is_empty()
     }
 
+    /// Parts of an attempt that are granted here and not yet over.
+    #[must_use]
+    pub fn grants_of(&self, run: Run) -> usize {
+        self.grants.get(&run).map_or(0, Grant::parts)
+    }
+
     /// What the grants take together.
     #[must_use]
     pub fn used(&self) -> Capacity {
--- a/crates/coordination/src/agent/grant.rs
+++ b/crates/coordination/src/agent/grant.rs
@@ -93,6 +93,12 @@
         self.need
     }
 
+    /// Parts of the gang on this worker.
+    #[must_use]
+    pub fn parts(&self) -> usize {
+        self.slots.len()
+    }
+
     /// What is known of the job.
     #[must_use]
     pub const fn header(&self) -> &Header {
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -442,8 +442,15 @@
         (self.cell.free_accelerators(), largest.unwrap_or(0))
     }
 
-    /// Ends a job that was refused or cancelled before it started.
+    /// Ends a job that was refused or cancelled before it started here. If
+    /// another coordinator may have started it, nobody knows.
     fn end_not_run(&mut self, now: Duration, job: JobId, kind: Kind) {
-        self.end(now, job, Outcome::NotRun(kind), None);
+        let tried = self.jobs.get(&job).is_some_and(|s| s.tried);
+        let outcome = if tried {
+            Outcome::Unknown(kind)
+        } else {
+            Outcome::NotRun(kind)
+        };
+        self.end(now, job, outcome, None);
     }
 }
--- a/crates/coordination/src/coordinator/guarantee.rs
+++ b/crates/coordination/src/coordinator/guarantee.rs
@@ -226,6 +226,22 @@
         }
     }
 
+    /// Whether all guarantees, idle, would pack into the empty cell beside
+    /// `more` as well as without it.
+    #[must_use]
+    pub fn leave_room(&self, cell: &Cell, more: &[(usize, Capacity)]) -> bool {
+        let total = |mut rooms: Vec<Capacity>| -> u32 {
+            let served = self.serve(cell, &mut rooms, None);
+            served.iter().map(|s| s.1).sum()
+        };
+        let empty = rooms(cell, View::Empty);
+        let mut beside = empty.clone();
+        for (i, need) in more {
+            beside[*i] = beside[*i].minus(*need);
+        }
+        total(beside) >= total(empty)
+    }
+
     /// The shapes that would not pack into the empty cell.
     #[must_use]
     pub fn shortfalls(&self, cell: &Cell) -> Vec<Shortfall> {
--- a/crates/coordination/src/coordinator/job_state.rs
+++ b/crates/coordination/src/coordinator/job_state.rs
@@ -115,6 +115,8 @@
     pub submitted: Duration,
     /// The incarnations of entries that want to hear of it.
     pub watchers: BTreeSet<u64>,
+    /// Whether another coordinator may have started it.
+    pub tried: bool,
     /// Attempts that may have run and failed.
     pub failures: u32,
     /// Times that it was stopped to return borrowed capacity.
--- a/crates/coordination/src/coordinator/jobs.rs
+++ b/crates/coordination/src/coordinator/jobs.rs
@@ -9,6 +9,7 @@
     error::Kind,
     event::Code,
     job::{Job, JobId, Outcome},
+    worker::Capacity,
 };
 
 use crate::message::{
@@ -18,7 +19,8 @@
 
 use super::{
     Action, Coordinator, UNKNOWN_AFTER,
-    guarantee::{Claim, accelerators_each},
+    cell::View,
+    guarantee::{Claim, Guarantees, accelerators_each},
     job_state::{JobState, Phase},
     learn::KindId,
     placement,
@@ -40,8 +42,8 @@
         request: JobRequest,
     ) {
         match request {
-            JobRequest::Submit { job, age } => {
-                self.submit(now, from, *job, age);
+            JobRequest::Submit { job, age, tried } => {
+                self.submit(now, from, *job, age, tried);
             }
             JobRequest::Follow {
                 job,
@@ -66,7 +68,14 @@
         }
     }
 
-    fn submit(&mut self, now: Duration, from: u64, job: Job, age: Duration) {
+    fn submit(
+        &mut self,
+        now: Duration,
+        from: u64,
+        job: Job,
+        age: Duration,
+        tried: bool,
+    ) {
         let id = job.id;
         if let Some(state) = self.jobs.get_mut(&id) {
             state.watchers.insert(from);
@@ -99,6 +108,7 @@
             kind,
             submitted: now.saturating_sub(age),
             watchers: BTreeSet::from([from]),
+            tried,
             failures: 0,
             reclaims: 0,
             excluded: BTreeSet::new(),
@@ -140,12 +150,35 @@
     }
 
     /// Whether no workers, even empty, could hold a job. Nothing is known of
-    /// that until all agents have had time to report.
+    /// that until all agents have had time to report. What may not be
+    /// repeated must also fit beside all guarantees, or inside its own.
     fn never_fits(&self, now: Duration, state: &JobState) -> bool {
+        if now < self.rebuild_until + SETTLE || self.cell.nodes().is_empty() {
+            return false;
+        }
         let shape = &state.header.shape;
-        now >= self.rebuild_until + SETTLE
-            && !self.cell.nodes().is_empty()
-            && !placement::fits_empty(&self.cell, shape, |_| true)
+        if !placement::fits_empty(&self.cell, shape, |_| true) {
+            return true;
+        }
+        if state.header.repeatable || self.could_claim(state) {
+            return false;
+        }
+        let places =
+            placement::candidates(&self.cell, shape, View::Empty, |_| true);
+        let guarantees = Guarantees::new(&self.tree);
+        !places.iter().any(|place| {
+            let more: Vec<_> = place.needs(shape).collect();
+            guarantees.leave_room(&self.cell, &more)
+        })
+    }
+
+    /// Whether a job fits its workspace's guarantee when all of it is idle.
+    fn could_claim(&self, state: &JobState) -> bool {
+        let header = &state.header;
+        let each = accelerators_each(self.typical_worker(), &header.shape);
+        Guarantees::new(&self.tree)
+            .find(&header.workspace, &header.shape, each)
+            .is_some()
     }
 
     /// Puts a job into the queue by what is known of it now.
@@ -257,15 +290,15 @@
         match state.phase.clone() {
             Phase::Queued => {
                 self.queue.remove(job);
-                self.end_not_run(now, job, why);
+                self.end_waiting(now, job, why);
             }
             Phase::Reclaiming { booking, .. } => {
                 self.unbook(&booking);
-                self.end_not_run(now, job, why);
+                self.end_waiting(now, job, why);
             }
             Phase::Holding { booking, .. } => {
                 self.release(&booking);
-                self.end_not_run(now, job, why);
+                self.end_waiting(now, job, why);
             }
             Phase::Started { booking, .. } => {
                 let term = self.term;
@@ -387,11 +420,14 @@
 
     pub(super) fn claim_of(&self, state: &JobState) -> Option<Claim> {
         let header = &state.header;
+        let each = accelerators_each(self.typical_worker(), &header.shape);
+        self.guarantees.find(&header.workspace, &header.shape, each)
+    }
+
+    fn typical_worker(&self) -> Capacity {
         let nodes = self.cell.nodes().iter();
         let known = nodes.map(|n| n.nominal).find(|c| c.accelerators > 0);
-        let typical = known.unwrap_or_default();
-        let each = accelerators_each(typical, &header.shape);
-        self.guarantees.find(&header.workspace, &header.shape, each)
+        known.unwrap_or_default()
     }
 
     pub(super) fn tick_job(&mut self, now: Duration, job: JobId) {
@@ -439,7 +475,7 @@
         let Some(state) = self.jobs.get(&job) else {
             return;
         };
-        if state.failures == 0 {
+        if state.failures == 0 && state.reclaims == 0 {
             self.end_not_run(now, job, kind);
         } else {
             let why = "no further attempt could start".to_owned();
@@ -476,6 +512,7 @@
             kind: KindId::default(),
             submitted: now,
             watchers: BTreeSet::from([from]),
+            tried: true,
             failures: 0,
             reclaims: 0,
             excluded: BTreeSet::new(),
--- a/crates/coordination/src/coordinator/rebuild.rs
+++ b/crates/coordination/src/coordinator/rebuild.rs
@@ -244,6 +244,7 @@
                 kind,
                 submitted: booking.placed,
                 watchers: BTreeSet::new(),
+                tried: true,
                 failures: 0,
                 reclaims: 0,
                 excluded: BTreeSet::new(),
--- a/crates/coordination/src/coordinator/schedule.rs
+++ b/crates/coordination/src/coordinator/schedule.rs
@@ -333,6 +333,17 @@
         {
             return Some(choice);
         }
+        // Work that may not be repeated can't be borrowed. Room for the loss
+        // of a rack is kept by what can: were it kept here too, such work
+        // might never start.
+        let before = if state.header.repeatable {
+            before
+        } else {
+            Packed {
+                without_a_rack: 0,
+                ..before
+            }
+        };
         if reserved && let Some(choice) = self.choose_reserved(state, before) {
             return Some(choice);
         }
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -368,6 +368,7 @@
             (None, Some(job)) => JobRequest::Submit {
                 job: Box::new(job.clone()),
                 age: now.saturating_sub(track.since),
+                tried: std::mem::replace(&mut track.sent, true),
             },
             (dispatched, _) => JobRequest::Follow {
                 job: id,
--- a/crates/coordination/src/entry/track.rs
+++ b/crates/coordination/src/entry/track.rs
@@ -55,6 +55,8 @@
     pub(super) wait: Wait,
     pub(super) dispatched: Option<Dispatched>,
     pub(super) running: bool,
+    /// Whether it was submitted to a coordinator.
+    pub(super) sent: bool,
     pub(super) kept: Kept,
     /// Whether the coordinator was asked about it without a record.
     pub(super) asked: bool,
@@ -80,6 +82,7 @@
             wait: Wait::Coordinator,
             dispatched: None,
             running: false,
+            sent: false,
             kept: Kept::Here,
             asked: false,
             bytes: 0,
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -304,6 +304,9 @@
         job: Box<Job>,
         /// How long ago the caller sent it.
         age: Duration,
+        /// Whether it was submitted before, to a coordinator that may have
+        /// started it.
+        tried: bool,
     },
     /// Say how a job stands, now and at its end.
     Follow {
--- a/crates/protocol/src/wire/job_wire.rs
+++ b/crates/protocol/src/wire/job_wire.rs
@@ -71,6 +71,7 @@
     Submit {
         job: Box<Job>,
         age: Duration,
+        tried: bool,
     },
     Follow {
         job: JobId,
@@ -90,9 +91,10 @@
     fn from(v: figrill_coordination::message::JobRequest) -> Self {
         use figrill_coordination::message::JobRequest as D;
         match v {
-            D::Submit { job, age } => Self::Submit {
+            D::Submit { job, age, tried } => Self::Submit {
                 job: Box::new((*job).into()),
                 age,
+                tried,
             },
             D::Follow {
                 job,
@@ -116,9 +118,10 @@
     type Error = WireError;
     fn try_from(w: JobRequest) -> Result<Self, WireError> {
         Ok(match w {
-            JobRequest::Submit { job, age } => Self::Submit {
+            JobRequest::Submit { job, age, tried } => Self::Submit {
                 job: Box::new((*job).try_into()?),
                 age,
+                tried,
             },
             JobRequest::Follow {
                 job,
--- /dev/null
+++ b/crates/protocol/tests/codec.rs
@@ -0,0 +1,143 @@
+//! Frames: whatever is sent comes back, and whatever comes is survived.
+
+use figrill_coordination::message::{
+    AgentReport, Ending, Header, JobRequest, MemberReport, Run,
+};
+use figrill_protocol::{
+    codec::{self, CodecError, HEAD_BYTES, MAX_FRAME_BYTES},
+    message::{Frame, Message},
+};
+use figrill_state::{
+    error::Kind,
+    event::Stamp,
+    job::{Adjacency, Answer, Attempt, Class, Job, JobId, PartAnswer, Shape},
+};
+use proptest::prelude::*;
+
+fn frame(message: Message) -> Frame {
+    Frame {
+        stamp: Stamp { ms: 7, count: 3 },
+        message,
+    }
+}
+
+#[test]
+fn messages_come_back_as_they_were() {
+    let run = Run {
+        job: JobId(u128::MAX),
+        attempt: Attempt::new(9, 4),
+    };
+    let header = figrill_coordination::message::Header {
+        workspace: "ā".to_owned(),
+        service: String::new(),
+        shape: Shape {
+            parts: 128,
+            accelerators: 8,
+            memory_mib: 1,
+            adjacency: Adjacency::Rack,
+        },
+        class: Class::Urgent,
+        repeatable: false,
+        recorded: true,
+        band: figrill_coordination::message::Band::Borrowed,
+    };
+    let ending = Ending::Done(Answer {
+        attempt: run.attempt,
+        parts: vec![PartAnswer {
+            rank: 0,
+            bytes: vec![0, 255],
+        }],
+    });
+    let endings: Vec<(Run, Header, Ending)> = Kind::ALL
+        .iter()
+        .map(|kind| (run, header.clone(), Ending::NothingRan(*kind)))
+        .chain([(run, header.clone(), ending)])
+        .collect();
+    let messages = [
+        Message::Pull,
+        Message::Wards(vec![run.job]),
+        Message::MemberReport {
+            run,
+            report: MemberReport::Stopped {
+                rank: 1,
+                checkpoint: None,
+            },
+        },
+        Message::AgentReport(AgentReport::Full {
+            term: 1,
+            worker: figrill_state::worker::Worker {
+                name: "w".to_owned(),
+                incarnation: 1,
+                address: "a".to_owned(),
+                place: figrill_state::worker::Place {
+                    failure_domain: "d".to_owned(),
+                    rack: "r".to_owned(),
+                },
+                capacity: figrill_state::worker::Capacity::default(),
+            },
+            grants: Vec::new(),
+            endings,
+        }),
+    ];
+    for message in messages {
+        let buf = codec::encode(frame(message.clone())).expect("a frame");
+        assert_eq!(codec::decode(&buf), Ok(frame(message)));
+    }
+}
+
+#[test]
+fn a_frame_over_the_limit_is_refused() {
+    let message = Message::Settings(vec![0; MAX_FRAME_BYTES + 1]);
+    let refused = codec::encode(frame(message));
+    assert!(matches!(refused, Err(CodecError::TooLarge(_))));
+    let head = u32::MAX.to_be_bytes();
+    assert!(matches!(codec::length(head), Err(CodecError::TooLarge(_))));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_bytes_are_survived(body in prop::collection::vec(any::<u8>(), 0..300)) {
+        let length = u32::try_from(body.len()).expect("small").to_be_bytes();
+        let buf = [&length[..], &body[..]].concat();
+        let _ = codec::decode(&buf);
+        let _ = codec::decode(&body);
+    }
+
+    #[test]
+    fn a_changed_byte_never_panics(at in 0_usize..200, to in any::<u8>()) {
+        let job = Job {
+            id: JobId(1),
+            workspace: "w".to_owned(),
+            service: "s".to_owned(),
+            shape: Shape {
+                parts: 2,
+                accelerators: 1,
+                memory_mib: 0,
+                adjacency: Adjacency::None,
+            },
+            declared: None,
+            deadline: None,
+            class: Class::Normal,
+            repeatable: true,
+            record: Some(3),
+            inputs: vec![vec![1; 40], vec![2; 40]],
+        };
+        let request = JobRequest::Submit {
+            job: Box::new(job),
+            age: std::time::Duration::ZERO,
+            tried: false,
+        };
+        let message = Message::JobRequest(request);
+        let mut buf = codec::encode(frame(message)).expect("a frame");
+        let at = HEAD_BYTES + at % (buf.len() - HEAD_BYTES);
+        buf[at] = to;
+        let _ = codec::decode(&buf);
+    }
+}
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -53,6 +53,7 @@
             .max_redirects(0)
             .max_redirects_will_error(false)
             .max_idle_connections_per_host(64)
+            .max_idle_age(Duration::from_secs(3))
             .no_delay(true)
             .proxy(None)
             .build()
--- a/crates/transport/src/store_client.rs
+++ b/crates/transport/src/store_client.rs
@@ -27,6 +27,10 @@
 /// Connections that are kept open.
 const IDLE_CONNECTIONS: usize = 8;
 
+/// How long an idle connection is kept: less than any server does, so that
+/// a call never meets one that is being closed.
+const IDLE_AGE: Duration = Duration::from_secs(3);
+
 /// A client; it may be shared between threads.
 pub struct StoreClient {
     base: String,
@@ -38,6 +42,7 @@
     Agent::config_builder()
         .http_status_as_error(false)
         .timeout_global(Some(timeout))
+        .max_idle_age(IDLE_AGE)
         .max_idle_connections(IDLE_CONNECTIONS)
         .max_idle_connections_per_host(IDLE_CONNECTIONS)
         .no_delay(true)
