Send agents the smallest heartbeat

Ruled out: anything but heartbeats; the site was idle. Most of each is the coordinator's record, which agents do not use.

Change: agents get the revision alone.

--- a/crates/node/src/agent/duty.rs
+++ b/crates/node/src/agent/duty.rs
@@ -456,7 +456,7 @@
         self.links.tick(now, &self.peers);
         if now >= self.next_beat {
             self.next_beat = now + BEAT_EVERY;
-            self.peers.beat(&self.beat_message());
+            self.peers.beat(|_| self.beat_message());
             self.measure();
         }
         let over = self.draining
--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -601,8 +601,9 @@
 
     fn up(&mut self, conn: ConnId, peer: Peer, dialled: Option<&str>) {
         let worker = peer.worker.clone();
+        let beat = self.beat_message(&peer);
         self.peers.up(conn, peer, dialled);
-        self.peers.send(conn, self.beat_message());
+        self.peers.send(conn, beat);
         if let Some(worker) = worker {
             let entries = self.entries.entries.clone();
             self.peers.send(conn, Message::Entries(entries));
@@ -706,9 +707,19 @@
         }
     }
 
-    fn beat_message(&self) -> Message {
+    /// Entries tell one another who coordinates. Agents learn that from the
+    /// coordinator itself, and there are many of them, so their heartbeat
+    /// is the smallest that there is.
+    fn beat_message(&self, to: &Peer) -> Message {
+        let revision = self.adoption.revision();
+        if to.worker.is_some() {
+            return Message::Beat(Beat {
+                revision,
+                ..Beat::default()
+            });
+        }
         Message::Beat(Beat {
-            revision: self.adoption.revision(),
+            revision,
             coordinator: self.term.coordinator(),
             leading: self.coordinator.is_some(),
         })
@@ -716,7 +727,7 @@
 
     fn beat(&mut self) {
         self.next_beat = self.now() + BEAT_EVERY;
-        self.peers.beat(&self.beat_message());
+        self.peers.beat(|peer| self.beat_message(peer));
     }
 
     fn command(&mut self, command: Command) {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -212,9 +212,9 @@
 
     /// Sends on every stream, also where there are two to one process: a
     /// stream without heartbeats is taken for dead.
-    pub(crate) fn beat(&self, message: &Message) {
-        for conn in self.by_conn.keys() {
-            self.send(*conn, message.clone());
+    pub(crate) fn beat(&self, message: impl Fn(&Peer) -> Message) {
+        for (conn, peer) in &self.by_conn {
+            self.send(*conn, message(peer));
         }
     }
 }
