--- /dev/null
+++ b/crates/coordination/src/agent/requests.rs
@@ -0,0 +1,188 @@
+//! What coordinators ask of an agent.
+
+use std::time::Duration;
+
+use figrill_state::error::Kind;
+use figrill_state::event::{Code, Note};
+
+use crate::message::{
+    AgentReport, AgentRequest, Ending, GrantPhase, GrantReport, Hold, Run,
+};
+
+use super::grant::Grant;
+use super::lead::Lead;
+use super::{Action, Agent, Cx, Following, term_of};
+
+impl Agent {
+    pub(super) fn coordinator(
+        &mut self,
+        now: Duration,
+        from: u64,
+        request: AgentRequest,
+        cx: &mut Cx,
+    ) {
+        if let AgentRequest::Ack { run } = request {
+            if self.endings.remove(&run).is_some() {
+                self.acknowledged.bury(run);
+            }
+            return;
+        }
+        let term = term_of(&request);
+        let seen = &mut self.following;
+        let rival = seen.term == term && seen.incarnation != from;
+        if term < seen.term || rival {
+            let report = AgentReport::Fenced { term: seen.term };
+            cx.actions.push(Action::Report { to: from, report });
+            let detail = format!("term={term} seen={}", seen.term);
+            cx.actions
+                .push(Action::Note(Note::new(Code::TermFenced, detail)));
+            return;
+        }
+        let newer = term > seen.term;
+        *seen = Following {
+            term,
+            incarnation: from,
+            connected: true,
+        };
+        if newer {
+            self.drop_holds(term, cx);
+        }
+        match request {
+            AgentRequest::Coordinate { .. } => {
+                let report = self.full_report(now);
+                self.report(report, cx);
+            }
+            AgentRequest::Hold(hold) => self.hold(now, hold, cx),
+            AgentRequest::Release { run, .. } => self.release(run, cx),
+            AgentRequest::Stage { run, .. } => {
+                if let Some(lead) = self.leads.get_mut(&run) {
+                    lead.stage(now, cx);
+                }
+            }
+            AgentRequest::Cancel {
+                run, why, window, ..
+            } => {
+                self.cancel(now, run, why, window, cx);
+            }
+            AgentRequest::Ack { .. } => {}
+        }
+    }
+
+    /// A new coordinator does not know the holds of an older one, and no
+    /// gang of those can start any more unless its lead has gone on to
+    /// stage it: what is only held is given up at once.
+    pub(super) fn drop_holds(&mut self, term: u64, cx: &mut Cx) {
+        let stale = |run: &Run, phase| {
+            run.attempt.term() < term && phase == GrantPhase::Held
+        };
+        for (run, grant) in &mut self.grants {
+            if stale(run, grant.phase()) {
+                grant.give_up(cx);
+            }
+        }
+        for (run, lead) in &mut self.leads {
+            if run.attempt.term() < term {
+                lead.give_up_unstaged(Kind::GangAborted, cx);
+            }
+        }
+    }
+
+    pub(super) fn full_report(&self, now: Duration) -> AgentReport {
+        let grants = self.grants.iter().map(|(run, grant)| GrantReport {
+            run: *run,
+            header: grant.header().clone(),
+            need: grant.need(),
+            phase: grant.phase(),
+            members: grant.members().to_vec(),
+            age: now.saturating_sub(grant.since()),
+        });
+        let endings = self.endings.iter();
+        AgentReport::Full {
+            term: self.following.term,
+            worker: self.worker.clone(),
+            grants: grants.collect(),
+            endings: endings
+                .map(|(run, (h, e))| (*run, h.clone(), e.clone()))
+                .collect(),
+        }
+    }
+
+    pub(super) fn hold(&mut self, now: Duration, hold: Hold, cx: &mut Cx) {
+        let run = hold.run;
+        if self.grants.contains_key(&run) {
+            self.report(AgentReport::Held { run }, cx);
+            return;
+        }
+        let parts = u32::try_from(hold.parts.len()).unwrap_or(u32::MAX);
+        let need = hold.header.shape.need(parts);
+        let room = self.worker.capacity.minus(self.used());
+        if self.tombs.holds(run) || !room.fits(need) || self.draining {
+            cx.note(Code::GrantRefused, run, "");
+            self.tombs.bury(run);
+            self.report(AgentReport::Refused { run }, cx);
+            return;
+        }
+        let leads = hold
+            .members
+            .first()
+            .is_some_and(|m| m.worker == self.worker.name);
+        let solo = hold.members.len() == 1;
+        if leads {
+            let lead = Lead::new(now, run, hold.header.clone(), &hold, solo);
+            self.leads.insert(run, lead);
+        }
+        cx.note(Code::GrantHeld, run, &format!("parts={parts}"));
+        let mut grant = Grant::new(now, hold, need);
+        if solo {
+            cx.note(Code::GangStarted, run, "members=1");
+            self.report(AgentReport::Started { run }, cx);
+            grant.start(now, cx);
+        } else {
+            self.report(AgentReport::Held { run }, cx);
+        }
+        self.grants.insert(run, grant);
+    }
+
+    pub(super) fn release(&mut self, run: Run, cx: &mut Cx) {
+        if let Some(grant) = self.grants.get_mut(&run)
+            && grant.phase() == GrantPhase::Held
+        {
+            grant.give_up(cx);
+        }
+        if let Some(lead) = self.leads.get_mut(&run) {
+            lead.give_up_unstaged(Kind::GangAborted, cx);
+        } else if !self.grants.contains_key(&run) {
+            self.tombs.bury(run);
+            self.report(AgentReport::Refused { run }, cx);
+        }
+    }
+
+    pub(super) fn cancel(
+        &mut self,
+        now: Duration,
+        run: Run,
+        why: Kind,
+        window: Duration,
+        cx: &mut Cx,
+    ) {
+        if let Some(lead) = self.leads.get_mut(&run) {
+            lead.cancel(now, why, window, cx);
+        } else if let Some((_, ending)) = self.endings.get(&run) {
+            let ending = ending.clone();
+            self.report(AgentReport::Ended { run, ending }, cx);
+        } else if self.acknowledged.holds(run) {
+            let ending = Ending::Failed {
+                kind: Kind::OutcomeLost,
+                why: "the ending was acknowledged before".to_owned(),
+                culprit: None,
+            };
+            self.report(AgentReport::Ended { run, ending }, cx);
+        } else if !self.grants.contains_key(&run) {
+            // It was never led here: from now on it never will be, so this
+            // is a true "nothing ran".
+            self.tombs.bury(run);
+            let ending = Ending::NothingRan(why);
+            self.report(AgentReport::Ended { run, ending }, cx);
+        }
+    }
+}
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -23,6 +23,8 @@
 
 pub mod attempts;
 pub mod cell;
+mod choose;
+mod endings;
 pub mod guarantee;
 pub mod health;
 pub mod job_state;
@@ -31,6 +33,7 @@
 pub mod placement;
 pub mod queue;
 pub mod rebuild;
+mod reserve;
 pub mod schedule;
 
 use cell::{Cell, View};
--- a/crates/coordination/src/coordinator/jobs.rs
+++ b/crates/coordination/src/coordinator/jobs.rs
@@ -31,6 +31,10 @@
 /// have been there all along.
 const SETTLE: Duration = Duration::from_secs(4);
 
+/// How long a lead keeps an ending that no entry has acknowledged, as when
+/// the entry is gone; the coordinator keeps the outcome for longer.
+const ACK_AFTER: Duration = Duration::from_secs(10);
+
 /// Time between two tries to write an outcome to the store.
 const SAVE_AGAIN: Duration = Duration::from_secs(2);
 
@@ -441,11 +445,27 @@
                 self.out.push(Action::Save { job, outcome });
                 self.saved(now, job, false);
             }
+            Phase::Ended {
+                run: Some(run), at, ..
+            } if now >= *at + ACK_AFTER => {
+                let run = *run;
+                self.ack_everywhere(run);
+                self.forget_run(job);
+            }
             Phase::Saving { .. } | Phase::Ended { .. } => {}
             _ => self.tick_attempt(now, job),
         }
     }
 
+    /// Notes that a job's lead was told to forget its ending.
+    fn forget_run(&mut self, job: JobId) {
+        if let Some(state) = self.jobs.get_mut(&job)
+            && let Phase::Ended { run, .. } = &mut state.phase
+        {
+            *run = None;
+        }
+    }
+
     fn tick_queued(&mut self, now: Duration, job: JobId) {
         let Some(state) = self.jobs.get(&job) else {
             return;
--- /dev/null
+++ b/crates/coordination/src/coordinator/reserve.rs
@@ -0,0 +1,170 @@
+//! Workers kept for a gang that has waited long.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use figrill_state::job::{JobId, Shape};
+use figrill_state::worker::Capacity;
+
+use crate::message::Run;
+
+use super::cell::View;
+use super::job_state::JobState;
+use super::schedule::{RESERVE_AFTER, Reservation, emptiest};
+use super::{Coordinator, placement};
+
+impl Coordinator {
+    /// Whether a worker is kept for another gang that would have to wait
+    /// longer if this job ran there.
+    pub(super) fn reserves(
+        &self,
+        now: Duration,
+        state: &JobState,
+        i: usize,
+    ) -> bool {
+        let Some(reservation) = &self.reservation else {
+            return false;
+        };
+        let own = state.job.as_ref().map(|j| j.id) == Some(reservation.job);
+        if own || !reservation.nodes.contains(&i) {
+            return false;
+        }
+        now + self.estimate(state).high > reservation.start
+    }
+
+    /// A reservation stays on its workers, so that what drains there is not
+    /// lost, until the gang has started or a worker is out of use.
+    pub(super) fn refresh_reservation(&mut self, now: Duration) {
+        let Some(reservation) = self.reservation.take() else {
+            return;
+        };
+        let job = reservation.job;
+        let Some(state) = self.jobs.get(&job).filter(|s| s.is_queued()) else {
+            return;
+        };
+        let nodes = self.cell.nodes();
+        let usable = reservation.nodes.iter().all(|i| nodes[*i].usable);
+        self.reservation = if usable {
+            let group: Vec<usize> =
+                reservation.nodes.iter().copied().collect();
+            let ends = self.expected_ends(now);
+            let start = self.earliest(now, job, state, &group, &ends);
+            let start = start.map_or(reservation.start, |(start, _)| start);
+            Some(Reservation {
+                start,
+                ..reservation
+            })
+        } else {
+            self.reserve(now, job, &state.header.shape)
+        };
+    }
+
+    /// Keeps workers for a gang that could not be placed, if it has waited
+    /// long and no other gang has a reservation.
+    pub(super) fn consider_reservation(&mut self, now: Duration, job: JobId) {
+        if self.reservation.is_some() {
+            return;
+        }
+        let Some(state) = self.jobs.get(&job) else {
+            return;
+        };
+        let waited = now.saturating_sub(state.submitted);
+        if !state.is_queued()
+            || waited < RESERVE_AFTER
+            || now < state.not_before
+        {
+            return;
+        }
+        self.reservation = self.reserve(now, job, &state.header.shape);
+    }
+
+    /// The workers on which a gang can start first, if all that runs there
+    /// ends as expected.
+    pub(super) fn reserve(
+        &self,
+        now: Duration,
+        job: JobId,
+        shape: &Shape,
+    ) -> Option<Reservation> {
+        let state = self.jobs.get(&job)?;
+        let ends = self.expected_ends(now);
+        let groups = self.cell.groups(shape.adjacency).iter();
+        let best = groups
+            .filter_map(|group| self.earliest(now, job, state, group, &ends))
+            .min_by_key(|(start, _)| *start);
+        let (start, nodes) = best?;
+        Some(Reservation { job, nodes, start })
+    }
+
+    pub(super) fn expected_ends(
+        &self,
+        now: Duration,
+    ) -> BTreeMap<Run, Duration> {
+        let mut ends = BTreeMap::new();
+        for state in self.active_jobs() {
+            if let Some(booking) = state.booking() {
+                let high = self.estimate(state).high;
+                let elapsed = now.saturating_sub(booking.placed);
+                // What has outrun its estimate is expected to take as long
+                // again as it has taken.
+                let left = high.checked_sub(elapsed).unwrap_or(elapsed);
+                ends.insert(booking.run, now + left);
+            }
+        }
+        ends
+    }
+
+    /// When a group has room for a gang, and on which workers; what fills
+    /// them under its reservation leaves when it is asked to.
+    pub(super) fn earliest(
+        &self,
+        now: Duration,
+        job: JobId,
+        state: &JobState,
+        group: &[usize],
+        ends: &BTreeMap<Run, Duration>,
+    ) -> Option<(Duration, BTreeSet<usize>)> {
+        let shape = &state.header.shape;
+        let nodes = self.cell.nodes();
+        let usable: Vec<usize> = group
+            .iter()
+            .copied()
+            .filter(|i| nodes[*i].usable && self.allows(state, *i))
+            .collect();
+        let mut rooms: BTreeMap<usize, Capacity> = usable
+            .iter()
+            .map(|i| (*i, nodes[*i].room(View::Empty)))
+            .collect();
+        let mut leaving: Vec<(Duration, usize, Capacity)> = Vec::new();
+        for &i in &usable {
+            let staying = nodes[i]
+                .runs()
+                .iter()
+                .filter(|(run, _)| !self.fills(**run, job));
+            for (run, booked) in staying {
+                if let Some(room) = rooms.get_mut(&i) {
+                    *room = room.minus(booked.need);
+                }
+                let end = ends.get(run).copied().unwrap_or(now);
+                leaving.push((end, i, booked.need));
+            }
+        }
+        leaving.sort_by_key(|(end, i, _)| (*end, *i));
+        let mut leaving = leaving.into_iter();
+        let mut at = now;
+        loop {
+            let parts: u32 = rooms
+                .values()
+                .map(|room| placement::fit(*room, shape))
+                .fold(0, u32::saturating_add);
+            if parts >= shape.parts {
+                return Some((at, emptiest(&rooms, shape)));
+            }
+            let (end, i, need) = leaving.next()?;
+            at = at.max(end);
+            if let Some(room) = rooms.get_mut(&i) {
+                *room = room.plus(need);
+            }
+        }
+    }
+}
--- a/crates/coordination/src/coordinator/schedule.rs
+++ b/crates/coordination/src/coordinator/schedule.rs
@@ -7,27 +7,21 @@
 //! reservation: its workers take only work that is expected to end before
 //! the gang could start.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
-use figrill_state::{
-    job::{Class, Job, JobId, Shape},
-    worker::Capacity,
-};
+use figrill_state::job::{Class, Job, JobId, Shape};
+use figrill_state::worker::Capacity;
 
 use crate::message::{Band, Run};
 
-use super::{
-    Coordinator,
-    cell::{Booked, View},
-    guarantee::{Claim, Packed},
-    job_state::{Choice, JobState, Phase},
-    learn::KindId,
-    placement::{self, Placement},
-    queue::Lane,
-};
+use super::cell::Booked;
+use super::guarantee::{Claim, Packed};
+use super::job_state::{Choice, JobState, Phase};
+use super::learn::KindId;
+use super::placement::Placement;
+use super::queue::Lane;
+use super::{Coordinator, placement};
 
 /// The most waiting jobs of one workspace that one pass looks at.
 const DEPTH: usize = 24;
@@ -166,7 +160,7 @@
         }
     }
 
-    fn active_jobs(&self) -> impl Iterator<Item = &JobState> {
+    pub(super) fn active_jobs(&self) -> impl Iterator<Item = &JobState> {
         self.active.iter().filter_map(|id| self.jobs.get(id))
     }
 
@@ -317,268 +311,6 @@
         self.short_demand = short.max(decayed);
     }
 
-    /// Chooses a place for a waiting job.
-    fn choose(
-        &self,
-        now: Duration,
-        state: &JobState,
-        reserved: bool,
-        long_share_full: bool,
-        before: Packed,
-    ) -> Option<Choice> {
-        let shape = &state.header.shape;
-        let claim = self.claim_of(state);
-        if claim.is_some()
-            && let Some(choice) = self.choose_own(state, claim, before)
-        {
-            return Some(choice);
-        }
-        // Work that may not be repeated can't be borrowed. Room for the loss
-        // of a rack is kept by what can: were it kept here too, such work
-        // might never start.
-        let before = if state.header.repeatable {
-            before
-        } else {
-            Packed {
-                without_a_rack: 0,
-                ..before
-            }
-        };
-        if reserved && let Some(choice) = self.choose_reserved(state, before) {
-            return Some(choice);
-        }
-        let enough = self.cell.free_accelerators() >= shape.total();
-        if long_share_full || !enough {
-            return None;
-        }
-        let free = |allowed: &dyn Fn(usize) -> bool| {
-            placement::candidates(&self.cell, shape, View::Free, allowed)
-        };
-        let unreserved = free(&|i: usize| {
-            self.allows(state, i) && !self.reserves(now, state, i)
-        });
-        let firm = unreserved
-            .iter()
-            .find(|placement| self.keeps(shape, placement, None, before));
-        if let Some(placement) = firm {
-            return Some(plain(placement.clone(), Band::Unpromised));
-        }
-        if !state.header.repeatable {
-            return None;
-        }
-        // Also workers that are kept for a gang: it takes them back when it
-        // can start.
-        let placement = unreserved.into_iter().next().or_else(|| {
-            free(&|i: usize| self.allows(state, i)).into_iter().next()
-        })?;
-        Some(plain(placement, Band::Borrowed))
-    }
-
-    /// The place that was kept for a reserved gang, once borrowers are all
-    /// that is in its way.
-    fn choose_reserved(
-        &self,
-        state: &JobState,
-        before: Packed,
-    ) -> Option<Choice> {
-        let reservation = self.reservation.as_ref()?;
-        let shape = &state.header.shape;
-        let kept =
-            |i: usize| reservation.nodes.contains(&i) && self.allows(state, i);
-        let found = placement::candidates(&self.cell, shape, View::Firm, kept);
-        let (placement, victims) = found
-            .into_iter()
-            .filter_map(|p| {
-                let fills = |run| self.fills(run, reservation.job);
-                let victims = self.victims(shape, &p, fills)?;
-                Some((p, victims))
-            })
-            .min_by_key(|(_, victims)| self.cost(victims))?;
-        let firm = self.keeps(shape, &placement, None, before);
-        if !firm && !state.header.repeatable {
-            return None;
-        }
-        let band = if firm {
-            Band::Unpromised
-        } else {
-            Band::Borrowed
-        };
-        Some(Choice {
-            placement,
-            band,
-            claim: None,
-            victims,
-            under: None,
-        })
-    }
-
-    /// A place on the workspace's own guarantee: free if there is one, or
-    /// else the one whose borrowers cost least to move.
-    fn choose_own(
-        &self,
-        state: &JobState,
-        claim: Option<Claim>,
-        before: Packed,
-    ) -> Option<Choice> {
-        let shape = &state.header.shape;
-        let allowed = |i: usize| self.allows(state, i);
-        let claimed = claim_size(shape, claim.as_ref());
-        // A claim is never held up by a rack that might be lost.
-        let after = Packed {
-            without_a_rack: 0,
-            ..before.less(claimed)
-        };
-        let keeps =
-            |p: &Placement| self.keeps(shape, p, claim.as_ref(), after);
-        let free =
-            placement::candidates(&self.cell, shape, View::Free, allowed);
-        let firm =
-            || placement::candidates(&self.cell, shape, View::Firm, allowed);
-        let (placement, victims) = match free.into_iter().find(|p| keeps(p)) {
-            Some(placement) => (placement, BTreeSet::new()),
-            None => firm()
-                .into_iter()
-                .filter(|p| keeps(p))
-                .filter_map(|p| {
-                    let victims = self.victims(shape, &p, |_| true)?;
-                    Some((p, victims))
-                })
-                .min_by_key(|(_, v)| self.cost(v))?,
-        };
-        Some(Choice {
-            placement,
-            band: Band::Own,
-            claim,
-            victims,
-            under: None,
-        })
-    }
-
-    /// Whether all idle guarantees still pack once a placement is granted.
-    fn keeps(
-        &self,
-        shape: &Shape,
-        placement: &Placement,
-        claim: Option<&Claim>,
-        wanted: Packed,
-    ) -> bool {
-        let more: Vec<(usize, Capacity)> = placement.needs(shape).collect();
-        self.guarantees
-            .pack(&self.cell, &more, claim)
-            .serves(wanted)
-    }
-
-    /// The cheapest borrowers, of those that `may` leave, whose end makes
-    /// room for a placement; `None` if they are not enough. Those that leave
-    /// already are waited for first: a place that was booked while they
-    /// leave takes more than the worker has until they are gone.
-    fn victims(
-        &self,
-        shape: &Shape,
-        placement: &Placement,
-        may: impl Fn(Run) -> bool,
-    ) -> Option<BTreeSet<Run>> {
-        let leaving = self.leaving();
-        let mut victims = BTreeSet::new();
-        for (i, need) in placement.needs(shape) {
-            let node = &self.cell.nodes()[i];
-            let mut used = node.used().plus(need);
-            for run in &victims {
-                if let Some(booked) = node.runs().get(run) {
-                    used = used.minus(booked.need);
-                }
-            }
-            let mut borrowers: Vec<(bool, u64, Run)> = node
-                .runs()
-                .iter()
-                .filter(|(run, b)| {
-                    b.band == Band::Borrowed
-                        && !victims.contains(run)
-                        && may(**run)
-                })
-                .map(|(run, _)| {
-                    (!leaving.contains(run), self.cost_of(*run), *run)
-                })
-                .collect();
-            borrowers.sort_unstable();
-            for (_, _, run) in borrowers {
-                if node.capacity.fits(used) {
-                    break;
-                }
-                used = used.minus(node.runs()[&run].need);
-                victims.insert(run);
-            }
-            if !node.capacity.fits(used) {
-                return None;
-            }
-        }
-        Some(victims)
-    }
-
-    /// Whether a run fills workers that are reserved for a gang.
-    fn fills(&self, run: Run, gang: JobId) -> bool {
-        let state = self.jobs.get(&run.job);
-        let booking = state.and_then(JobState::booking);
-        booking.is_some_and(|b| b.run == run && b.under == Some(gang))
-    }
-
-    /// Borrowers that were asked to leave and have not left yet.
-    fn leaving(&self) -> BTreeSet<Run> {
-        let mut leaving = BTreeSet::new();
-        for state in self.active_jobs() {
-            if let Phase::Reclaiming { victims, .. } = &state.phase {
-                leaving.extend(victims.iter().copied());
-            }
-        }
-        leaving
-    }
-
-    fn cost(&self, victims: &BTreeSet<Run>) -> u64 {
-        victims.iter().map(|run| self.cost_of(*run)).sum()
-    }
-
-    /// What it costs to move a borrower: with a checkpoint no work is lost,
-    /// but its accelerators idle for a while, and one that was moved before
-    /// should not be moved again and again.
-    fn cost_of(&self, run: Run) -> u64 {
-        let Some(state) = self.jobs.get(&run.job) else {
-            return 0;
-        };
-        let total = u64::from(state.header.shape.total());
-        total * (1 + u64::from(state.reclaims))
-    }
-
-    fn allows(&self, state: &JobState, i: usize) -> bool {
-        let node = &self.cell.nodes()[i];
-        if self.excludes(state, &node.name) {
-            return false;
-        }
-        // A quarantined worker is tried with work that may be repeated.
-        state.header.repeatable || !self.health.is_quarantined(&node.name)
-    }
-
-    /// Whether a job stays off a worker on which it failed: not if the
-    /// others could never hold it.
-    fn excludes(&self, state: &JobState, worker: &str) -> bool {
-        let nodes = self.cell.nodes();
-        let others = |i: usize| !state.excluded.contains(&nodes[i].name);
-        state.excluded.contains(worker)
-            && placement::fits_empty(&self.cell, &state.header.shape, others)
-    }
-
-    /// Whether a worker is kept for another gang that would have to wait
-    /// longer if this job ran there.
-    fn reserves(&self, now: Duration, state: &JobState, i: usize) -> bool {
-        let Some(reservation) = &self.reservation else {
-            return false;
-        };
-        let own = state.job.as_ref().map(|j| j.id) == Some(reservation.job);
-        if own || !reservation.nodes.contains(&i) {
-            return false;
-        }
-        now + self.estimate(state).high > reservation.start
-    }
-
     fn refresh_usable(&mut self, now: Duration) {
         for i in 0..self.cell.nodes().len() {
             let name = &self.cell.nodes()[i].name;
@@ -588,139 +320,6 @@
         }
     }
 
-    /// A reservation stays on its workers, so that what drains there is not
-    /// lost, until the gang has started or a worker is out of use.
-    fn refresh_reservation(&mut self, now: Duration) {
-        let Some(reservation) = self.reservation.take() else {
-            return;
-        };
-        let job = reservation.job;
-        let Some(state) = self.jobs.get(&job).filter(|s| s.is_queued()) else {
-            return;
-        };
-        let nodes = self.cell.nodes();
-        let usable = reservation.nodes.iter().all(|i| nodes[*i].usable);
-        self.reservation = if usable {
-            let group: Vec<usize> =
-                reservation.nodes.iter().copied().collect();
-            let ends = self.expected_ends(now);
-            let start = self.earliest(now, job, state, &group, &ends);
-            let start = start.map_or(reservation.start, |(start, _)| start);
-            Some(Reservation {
-                start,
-                ..reservation
-            })
-        } else {
-            self.reserve(now, job, &state.header.shape)
-        };
-    }
-
-    /// Keeps workers for a gang that could not be placed, if it has waited
-    /// long and no other gang has a reservation.
-    fn consider_reservation(&mut self, now: Duration, job: JobId) {
-        if self.reservation.is_some() {
-            return;
-        }
-        let Some(state) = self.jobs.get(&job) else {
-            return;
-        };
-        let waited = now.saturating_sub(state.submitted);
-        if !state.is_queued()
-            || waited < RESERVE_AFTER
-            || now < state.not_before
-        {
-            return;
-        }
-        self.reservation = self.reserve(now, job, &state.header.shape);
-    }
-
-    /// The workers on which a gang can start first, if all that runs there
-    /// ends as expected.
-    fn reserve(
-        &self,
-        now: Duration,
-        job: JobId,
-        shape: &Shape,
-    ) -> Option<Reservation> {
-        let state = self.jobs.get(&job)?;
-        let ends = self.expected_ends(now);
-        let groups = self.cell.groups(shape.adjacency).iter();
-        let best = groups
-            .filter_map(|group| self.earliest(now, job, state, group, &ends))
-            .min_by_key(|(start, _)| *start);
-        let (start, nodes) = best?;
-        Some(Reservation { job, nodes, start })
-    }
-
-    fn expected_ends(&self, now: Duration) -> BTreeMap<Run, Duration> {
-        let mut ends = BTreeMap::new();
-        for state in self.active_jobs() {
-            if let Some(booking) = state.booking() {
-                let high = self.estimate(state).high;
-                let elapsed = now.saturating_sub(booking.placed);
-                // What has outrun its estimate is expected to take as long
-                // again as it has taken.
-                let left = high.checked_sub(elapsed).unwrap_or(elapsed);
-                ends.insert(booking.run, now + left);
-            }
-        }
-        ends
-    }
-
-    /// When a group has room for a gang, and on which workers; what fills
-    /// them under its reservation leaves when it is asked to.
-    fn earliest(
-        &self,
-        now: Duration,
-        job: JobId,
-        state: &JobState,
-        group: &[usize],
-        ends: &BTreeMap<Run, Duration>,
-    ) -> Option<(Duration, BTreeSet<usize>)> {
-        let shape = &state.header.shape;
-        let nodes = self.cell.nodes();
-        let usable: Vec<usize> = group
-            .iter()
-            .copied()
-            .filter(|i| nodes[*i].usable && self.allows(state, *i))
-            .collect();
-        let mut rooms: BTreeMap<usize, Capacity> = usable
-            .iter()
-            .map(|i| (*i, nodes[*i].room(View::Empty)))
-            .collect();
-        let mut leaving: Vec<(Duration, usize, Capacity)> = Vec::new();
-        for &i in &usable {
-            let staying = nodes[i]
-                .runs()
-                .iter()
-                .filter(|(run, _)| !self.fills(**run, job));
-            for (run, booked) in staying {
-                if let Some(room) = rooms.get_mut(&i) {
-                    *room = room.minus(booked.need);
-                }
-                let end = ends.get(run).copied().unwrap_or(now);
-                leaving.push((end, i, booked.need));
-            }
-        }
-        leaving.sort_by_key(|(end, i, _)| (*end, *i));
-        let mut leaving = leaving.into_iter();
-        let mut at = now;
-        loop {
-            let parts: u32 = rooms
-                .values()
-                .map(|room| placement::fit(*room, shape))
-                .fold(0, u32::saturating_add);
-            if parts >= shape.parts {
-                return Some((at, emptiest(&rooms, shape)));
-            }
-            let (end, i, need) = leaving.next()?;
-            at = at.max(end);
-            if let Some(room) = rooms.get_mut(&i) {
-                *room = room.plus(need);
-            }
-        }
-    }
-
     /// Whether a deadline can still be met if the job started now.
     pub(super) fn can_meet_deadline(
         &self,
@@ -790,7 +389,7 @@
     }
 }
 
-const fn plain(placement: Placement, band: Band) -> Choice {
+pub(super) const fn plain(placement: Placement, band: Band) -> Choice {
     Choice {
         placement,
         band,
@@ -801,12 +400,12 @@
 }
 
 /// How much idle guarantee a claim uses up.
-fn claim_size(shape: &Shape, claim: Option<&Claim>) -> u32 {
+pub(super) fn claim_size(shape: &Shape, claim: Option<&Claim>) -> u32 {
     claim.map_or(shape.total(), Claim::accelerators)
 }
 
 /// The workers with most room that hold the gang together.
-fn emptiest(
+pub(super) fn emptiest(
     rooms: &BTreeMap<usize, Capacity>,
     shape: &Shape,
 ) -> BTreeSet<usize> {
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -4,26 +4,22 @@
 //! outcome, and submits it again to whoever coordinates next. What must
 //! outlive the entry has a record in the store.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    time::Duration,
-};
-
-use figrill_state::{
-    error::Kind,
-    event::{Code, Note},
-    job::{Job, JobId, Outcome},
-    ledger::Claimed,
-    record::{JobRecord, Progress},
-    request::Submit,
-};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use figrill_state::error::Kind;
+use figrill_state::event::{Code, Note};
+use figrill_state::job::{Job, JobId, Outcome};
+use figrill_state::ledger::Claimed;
+use figrill_state::record::JobRecord;
+use track::{Call, Kept, Track, Wait};
 
-use crate::message::{Dispatched, JobReport, JobRequest, Standing};
+use crate::message::{JobReport, JobRequest, Standing};
 
+mod calls;
+mod records;
 mod track;
 
-use track::{Call, Kept, Track, Wait};
-
 /// How long an outcome is kept for callers that come back.
 pub const OUTCOME_KEPT: Duration = Duration::from_mins(10);
 
@@ -379,253 +375,6 @@
         self.out.push(Action::ToCoordinator(request));
     }
 
-    fn claimed(&mut self, now: Duration, id: JobId, result: Option<&Claimed>) {
-        let Some(track) = self.tracks.get_mut(&id) else {
-            return;
-        };
-        if track.wait == Wait::Durable {
-            self.made_durable(now, id, result);
-            return;
-        }
-        match result {
-            Some(Claimed::New(version)) => {
-                track.kept = track.kept.max(Kept::Stored);
-                if let Some(job) = &mut track.job {
-                    job.record = Some(*version);
-                }
-                self.send(now, id);
-            }
-            Some(Claimed::Known(known)) => self.join(now, id, *known),
-            Some(Claimed::OtherBody(_)) => {
-                self.note(Code::KeyConflict, id, "");
-                self.drop_refused(id, Kind::KeyConflict);
-            }
-            None => {
-                let repeatable =
-                    track.job.as_ref().is_some_and(|j| j.repeatable);
-                if repeatable {
-                    self.send(now, id);
-                } else {
-                    self.finish(now, id, &Outcome::NotRun(Kind::StoreDown));
-                }
-            }
-        }
-    }
-
-    /// Moves the callers of a job to the one that their key stands for.
-    fn join(&mut self, now: Duration, id: JobId, known: JobId) {
-        let Some(track) = self.tracks.remove(&id) else {
-            return;
-        };
-        self.bytes -= track.bytes;
-        let workspace = track.workspace;
-        for call in track.calls {
-            self.calls.remove(&call.call);
-            self.attach(now, call, known, Some(workspace.clone()));
-        }
-    }
-
-    fn poll(
-        &mut self,
-        now: Duration,
-        call: CallId,
-        job: JobId,
-        scope: Option<String>,
-        until: Duration,
-    ) {
-        self.attach(now, Call { call, until }, job, scope);
-    }
-
-    fn attach(
-        &mut self,
-        now: Duration,
-        call: Call,
-        id: JobId,
-        scope: Option<String>,
-    ) {
-        if let Some(track) = self.tracks.get_mut(&id) {
-            let known = !track.workspace.is_empty();
-            if known && scope.is_some_and(|s| s != track.workspace) {
-                self.refuse(call.call, None, Kind::NotFound);
-                return;
-            }
-            if let Some(outcome) = track.outcome.clone() {
-                self.answer(call.call, id, outcome);
-                return;
-            }
-            self.calls.insert(call.call, id);
-            track.calls.push(call);
-            return;
-        }
-        // Only the record tells whose job it is, so it is read first.
-        let mut track = Track::new(now, String::new(), None);
-        track.scope = scope;
-        track.wait = Wait::Record { at: now };
-        self.calls.insert(call.call, id);
-        track.calls.push(call);
-        self.tracks.insert(id, track);
-        self.out.push(Action::Read { job: id });
-    }
-
-    fn read(&mut self, now: Duration, id: JobId, result: RecordRead) {
-        let Some(track) = self.tracks.get_mut(&id) else {
-            return;
-        };
-        if track.outcome.is_some() {
-            return;
-        }
-        let (version, record) = match result {
-            RecordRead::Found(version, record) => (version, *record),
-            RecordRead::Missing if track.job.is_none() && track.asked => {
-                self.drop_refused(id, Kind::NotFound);
-                return;
-            }
-            // The coordinator may still know the job.
-            RecordRead::Unavailable | RecordRead::Missing => {
-                track.asked |= result == RecordRead::Missing;
-                self.send(now, id);
-                return;
-            }
-        };
-        let scope = track.scope.take();
-        if scope.is_some_and(|s| s != record.workspace) {
-            self.drop_refused(id, Kind::NotFound);
-            return;
-        }
-        track.workspace.clone_from(&record.workspace);
-        track.kept = track.kept.max(Kept::Stored);
-        self.follow_record(now, id, version, record);
-    }
-
-    fn follow_record(
-        &mut self,
-        now: Duration,
-        id: JobId,
-        version: u64,
-        record: JobRecord,
-    ) {
-        let mine = self.incarnation;
-        let Some(track) = self.tracks.get_mut(&id) else {
-            return;
-        };
-        match record.progress.clone() {
-            Progress::Ended(saved) => {
-                self.finish(now, id, &Outcome::from(saved));
-            }
-            Progress::Dispatched {
-                attempt,
-                lead,
-                incarnation,
-            } => {
-                track.dispatched = Some(Dispatched {
-                    attempt: figrill_state::job::Attempt(attempt),
-                    lead,
-                    incarnation,
-                });
-                self.send(now, id);
-            }
-            Progress::Claimed { entry } if entry == mine => {
-                self.resume(now, id, version, &record);
-            }
-            Progress::Claimed { entry }
-                if self.entries.contains(&entry) && !track.asked =>
-            {
-                // Its entry lives: the coordinator has it or soon will.
-                track.asked = true;
-                self.send(now, id);
-            }
-            Progress::Claimed { entry } if self.entries.contains(&entry) => {
-                track.asked = false;
-                track.wait = Wait::Record {
-                    at: now + READ_AGAIN,
-                };
-            }
-            Progress::Claimed { .. } => {
-                let record = Box::new(record);
-                track.request.clone_from(&record.request);
-                self.out.push(Action::TakeOver {
-                    job: id,
-                    version,
-                    record,
-                });
-            }
-        }
-    }
-
-    /// Submits a job from its record.
-    fn resume(
-        &mut self,
-        now: Duration,
-        id: JobId,
-        version: u64,
-        record: &JobRecord,
-    ) {
-        let Some(track) = self.tracks.get_mut(&id) else {
-            return;
-        };
-        let parsed = Submit::parse(&record.request).ok();
-        let Some(mut job) = parsed.map(|s| s.job(id)) else {
-            self.finish(now, id, &Outcome::Unknown(Kind::OutcomeLost));
-            return;
-        };
-        job.record = Some(version);
-        track.job = Some(job);
-        track.dispatched = None;
-        self.send(now, id);
-    }
-
-    fn taken_over(&mut self, now: Duration, id: JobId, version: Option<u64>) {
-        let Some(track) = self.tracks.get_mut(&id) else {
-            return;
-        };
-        match version {
-            Some(version) => {
-                let record = JobRecord {
-                    workspace: track.workspace.clone(),
-                    request: track.request.clone(),
-                    progress: Progress::Claimed {
-                        entry: self.incarnation,
-                    },
-                };
-                self.resume(now, id, version, &record);
-            }
-            None => {
-                track.wait = Wait::Record {
-                    at: now + READ_AGAIN,
-                }
-            }
-        }
-    }
-
-    fn cancel(
-        &mut self,
-        now: Duration,
-        call: CallId,
-        id: JobId,
-        scope: Option<String>,
-    ) {
-        let known = self.tracks.get(&id);
-        let hidden = known.is_some_and(|t| {
-            !t.workspace.is_empty()
-                && scope.as_ref().is_some_and(|s| *s != t.workspace)
-        });
-        if hidden {
-            self.refuse(call, None, Kind::NotFound);
-            return;
-        }
-        if known.is_none_or(|t| t.outcome.is_none()) {
-            let request = JobRequest::Cancel {
-                job: id,
-                scope: scope.clone(),
-            };
-            self.out.push(Action::ToCoordinator(request));
-        }
-        // The caller is told how the job ended, which may be `done` if the
-        // cancel came too late.
-        let until = now + Duration::from_secs(10);
-        self.attach(now, Call { call, until }, id, scope);
-    }
-
     fn report(&mut self, now: Duration, report: JobReport) {
         match report {
             JobReport::Ended { job, outcome } => {
@@ -647,27 +396,6 @@
         }
     }
 
-    /// The coordinator does not know a job. If this entry has it, or its
-    /// record has, it goes on; if nobody has, there is no such job.
-    fn unheard(&mut self, now: Duration, id: JobId) {
-        let Some(track) = self.tracks.get_mut(&id) else {
-            return;
-        };
-        if track.outcome.is_some() {
-            return;
-        }
-        if track.kept > Kept::Here || track.job.is_none() {
-            track.wait = Wait::Record {
-                at: now + READ_AGAIN,
-            };
-            if track.asked && track.kept == Kept::Here {
-                self.drop_refused(id, Kind::NotFound);
-            }
-            return;
-        }
-        self.send(now, id);
-    }
-
     fn coordinator(&mut self, now: Duration, known: bool) {
         if self.coordinator && !known {
             self.alone_since = now;
@@ -690,51 +418,6 @@
         }
     }
 
-    /// Jobs that an entry asked to be looked after become this entry's once
-    /// that entry is gone. All others do the same; the swap of the job's
-    /// record decides between them.
-    fn entries_are(&mut self, now: Duration, entries: BTreeSet<u64>) {
-        self.entries = entries;
-        let gone: Vec<u64> = self
-            .wards
-            .keys()
-            .filter(|of| !self.entries.contains(of))
-            .copied()
-            .collect();
-        for of in gone {
-            for job in self.wards.remove(&of).unwrap_or_default() {
-                self.look_after(now, job);
-            }
-        }
-    }
-
-    fn take_wards(&mut self, of: u64, jobs: Vec<JobId>) {
-        let wards = self.wards.entry(of).or_default();
-        wards.extend(jobs);
-        while wards.len() > WARDS_MAX {
-            wards.pop_front();
-        }
-    }
-
-    fn look_after(&mut self, now: Duration, id: JobId) {
-        if self.tracks.contains_key(&id) || self.draining {
-            return;
-        }
-        let mut track = Track::new(now, String::new(), None);
-        track.wait = Wait::Record { at: now };
-        self.tracks.insert(id, track);
-        self.out.push(Action::Read { job: id });
-    }
-
-    fn hang_up(&mut self, call: CallId) {
-        let Some(id) = self.calls.remove(&call) else {
-            return;
-        };
-        if let Some(track) = self.tracks.get_mut(&id) {
-            track.calls.retain(|c| c.call != call);
-        }
-    }
-
     fn finish(&mut self, now: Duration, id: JobId, outcome: &Outcome) {
         let Some(track) = self.tracks.get_mut(&id) else {
             return;
@@ -757,36 +440,6 @@
         }
     }
 
-    fn answer(&mut self, call: CallId, job: JobId, outcome: Outcome) {
-        let detail = format!("outcome={}", outcome.name());
-        self.note(Code::JobAnswered, job, &detail);
-        let reply = Reply::Outcome { job, outcome };
-        self.out.push(Action::Reply { call, reply });
-    }
-
-    fn refuse(&mut self, call: CallId, job: Option<JobId>, kind: Kind) {
-        let note = Note {
-            code: Code::JobRefused,
-            job,
-            detail: format!("why={kind}"),
-        };
-        self.out.push(Action::Note(note));
-        let reply = Reply::Refused { job, kind };
-        self.out.push(Action::Reply { call, reply });
-    }
-
-    /// Forgets a job that is not to be served, and tells its callers.
-    fn drop_refused(&mut self, id: JobId, kind: Kind) {
-        let Some(track) = self.tracks.remove(&id) else {
-            return;
-        };
-        self.bytes -= track.bytes;
-        for call in track.calls {
-            self.calls.remove(&call.call);
-            self.refuse(call.call, None, kind);
-        }
-    }
-
     fn note(&mut self, code: Code, job: JobId, detail: &str) {
         self.out.push(Action::Note(Note::of_job(code, job, detail)));
     }
@@ -797,105 +450,6 @@
         self.forget(now);
     }
 
-    fn read_again(&mut self, now: Duration) {
-        for (id, track) in &mut self.tracks {
-            if track.outcome.is_some() {
-                continue;
-            }
-            if let Wait::Record { at } = track.wait
-                && now >= at
-            {
-                track.wait = Wait::Record {
-                    at: now + READ_AGAIN * 4,
-                };
-                self.out.push(Action::Read { job: *id });
-            }
-        }
-    }
-
-    /// Gives callers that have waited long enough the job's address. What
-    /// is not in the store yet is written there first.
-    fn release_calls(&mut self, now: Duration) {
-        let draining = self.draining;
-        let due: Vec<JobId> = self
-            .tracks
-            .iter()
-            .filter(|(_, t)| {
-                draining && t.outcome.is_none() && t.kept < Kept::Warded
-                    || t.calls.iter().any(|c| now >= c.until)
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in due {
-            let Some(track) = self.tracks.get_mut(&id) else {
-                continue;
-            };
-            if track.wait == Wait::Claim || track.wait == Wait::Durable {
-                continue;
-            }
-            if track.kept > Kept::Here || track.job.is_none() {
-                self.accept_due(now, id);
-                continue;
-            }
-            track.wait = Wait::Durable;
-            self.out.push(Action::Claim {
-                job: id,
-                workspace: track.workspace.clone(),
-                key: None,
-                request: track.request.clone(),
-            });
-        }
-    }
-
-    fn made_durable(
-        &mut self,
-        now: Duration,
-        id: JobId,
-        result: Option<&Claimed>,
-    ) {
-        let Some(track) = self.tracks.get_mut(&id) else {
-            return;
-        };
-        track.wait = Wait::Coordinator;
-        if let Some(Claimed::New(version)) = result {
-            track.kept = track.kept.max(Kept::Stored);
-            if let Some(job) = &mut track.job {
-                job.record = Some(*version);
-            }
-            // The coordinator learns that the outcome must be saved.
-            self.send(now, id);
-        }
-        self.accept_due(now, id);
-    }
-
-    fn accept_due(&mut self, now: Duration, id: JobId) {
-        let draining = self.draining;
-        let Some(track) = self.tracks.get_mut(&id) else {
-            return;
-        };
-        let due = |c: &Call| draining || now >= c.until;
-        let released: Vec<Call> =
-            track.calls.iter().copied().filter(due).collect();
-        track.calls.retain(|c| !due(c));
-        let reply = Reply::Accepted {
-            job: id,
-            running: track.running,
-            durable: track.kept > Kept::Here,
-        };
-        if track.kept == Kept::Stored {
-            track.kept = Kept::Warded;
-            self.out.push(Action::Ward { job: id });
-        }
-        for call in released {
-            self.calls.remove(&call.call);
-            let reply = reply.clone();
-            self.out.push(Action::Reply {
-                call: call.call,
-                reply,
-            });
-        }
-    }
-
     fn forget(&mut self, now: Duration) {
         while let Some(id) = self.ended.front().copied() {
             let old = self
--- /dev/null
+++ b/crates/coordination/src/entry/calls.rs
@@ -0,0 +1,196 @@
+//! Callers that wait, and what they are told.
+
+use std::time::Duration;
+
+use figrill_state::error::Kind;
+use figrill_state::event::{Code, Note};
+use figrill_state::job::{JobId, Outcome};
+
+use crate::message::JobRequest;
+
+use super::track::{Call, Kept, Track, Wait};
+use super::{Action, CallId, Entry, Reply};
+
+impl Entry {
+    pub(super) fn poll(
+        &mut self,
+        now: Duration,
+        call: CallId,
+        job: JobId,
+        scope: Option<String>,
+        until: Duration,
+    ) {
+        self.attach(now, Call { call, until }, job, scope);
+    }
+
+    pub(super) fn attach(
+        &mut self,
+        now: Duration,
+        call: Call,
+        id: JobId,
+        scope: Option<String>,
+    ) {
+        if let Some(track) = self.tracks.get_mut(&id) {
+            let known = !track.workspace.is_empty();
+            if known && scope.is_some_and(|s| s != track.workspace) {
+                self.refuse(call.call, None, Kind::NotFound);
+                return;
+            }
+            if let Some(outcome) = track.outcome.clone() {
+                self.answer(call.call, id, outcome);
+                return;
+            }
+            self.calls.insert(call.call, id);
+            track.calls.push(call);
+            return;
+        }
+        // Only the record tells whose job it is, so it is read first.
+        let mut track = Track::new(now, String::new(), None);
+        track.scope = scope;
+        track.wait = Wait::Record { at: now };
+        self.calls.insert(call.call, id);
+        track.calls.push(call);
+        self.tracks.insert(id, track);
+        self.out.push(Action::Read { job: id });
+    }
+
+    pub(super) fn cancel(
+        &mut self,
+        now: Duration,
+        call: CallId,
+        id: JobId,
+        scope: Option<String>,
+    ) {
+        let known = self.tracks.get(&id);
+        let hidden = known.is_some_and(|t| {
+            !t.workspace.is_empty()
+                && scope.as_ref().is_some_and(|s| *s != t.workspace)
+        });
+        if hidden {
+            self.refuse(call, None, Kind::NotFound);
+            return;
+        }
+        if known.is_none_or(|t| t.outcome.is_none()) {
+            let request = JobRequest::Cancel {
+                job: id,
+                scope: scope.clone(),
+            };
+            self.out.push(Action::ToCoordinator(request));
+        }
+        // The caller is told how the job ended, which may be `done` if the
+        // cancel came too late.
+        let until = now + Duration::from_secs(10);
+        self.attach(now, Call { call, until }, id, scope);
+    }
+
+    pub(super) fn hang_up(&mut self, call: CallId) {
+        let Some(id) = self.calls.remove(&call) else {
+            return;
+        };
+        if let Some(track) = self.tracks.get_mut(&id) {
+            track.calls.retain(|c| c.call != call);
+        }
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        call: CallId,
+        job: JobId,
+        outcome: Outcome,
+    ) {
+        let detail = format!("outcome={}", outcome.name());
+        self.note(Code::JobAnswered, job, &detail);
+        let reply = Reply::Outcome { job, outcome };
+        self.out.push(Action::Reply { call, reply });
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        call: CallId,
+        job: Option<JobId>,
+        kind: Kind,
+    ) {
+        let note = Note {
+            code: Code::JobRefused,
+            job,
+            detail: format!("why={kind}"),
+        };
+        self.out.push(Action::Note(note));
+        let reply = Reply::Refused { job, kind };
+        self.out.push(Action::Reply { call, reply });
+    }
+
+    /// Forgets a job that is not to be served, and tells its callers.
+    pub(super) fn drop_refused(&mut self, id: JobId, kind: Kind) {
+        let Some(track) = self.tracks.remove(&id) else {
+            return;
+        };
+        self.bytes -= track.bytes;
+        for call in track.calls {
+            self.calls.remove(&call.call);
+            self.refuse(call.call, None, kind);
+        }
+    }
+
+    /// Gives callers that have waited long enough the job's address. What
+    /// is not in the store yet is written there first.
+    pub(super) fn release_calls(&mut self, now: Duration) {
+        let draining = self.draining;
+        let due: Vec<JobId> = self
+            .tracks
+            .iter()
+            .filter(|(_, t)| {
+                draining && t.outcome.is_none() && t.kept < Kept::Warded
+                    || t.calls.iter().any(|c| now >= c.until)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            let Some(track) = self.tracks.get_mut(&id) else {
+                continue;
+            };
+            if track.wait == Wait::Claim || track.wait == Wait::Durable {
+                continue;
+            }
+            if track.kept > Kept::Here || track.job.is_none() {
+                self.accept_due(now, id);
+                continue;
+            }
+            track.wait = Wait::Durable;
+            self.out.push(Action::Claim {
+                job: id,
+                workspace: track.workspace.clone(),
+                key: None,
+                request: track.request.clone(),
+            });
+        }
+    }
+
+    pub(super) fn accept_due(&mut self, now: Duration, id: JobId) {
+        let draining = self.draining;
+        let Some(track) = self.tracks.get_mut(&id) else {
+            return;
+        };
+        let due = |c: &Call| draining || now >= c.until;
+        let released: Vec<Call> =
+            track.calls.iter().copied().filter(due).collect();
+        track.calls.retain(|c| !due(c));
+        let reply = Reply::Accepted {
+            job: id,
+            running: track.running,
+            durable: track.kept > Kept::Here,
+        };
+        if track.kept == Kept::Stored {
+            track.kept = Kept::Warded;
+            self.out.push(Action::Ward { job: id });
+        }
+        for call in released {
+            self.calls.remove(&call.call);
+            let reply = reply.clone();
+            self.out.push(Action::Reply {
+                call: call.call,
+                reply,
+            });
+        }
+    }
+}
--- a/crates/coordination/src/term.rs
+++ b/crates/coordination/src/term.rs
@@ -284,6 +284,9 @@
     fn fenced(&mut self, term: u64, actions: &mut Vec<Action>) {
         if self.leading.is_some_and(|mine| mine < term) {
             self.step_down(actions);
+            // Whoever has it, a later bid must be larger.
+            self.known.term = self.known.term.max(term);
+            self.known.incarnation = 0;
         }
     }
 
--- a/crates/node/src/agent/duty.rs
+++ b/crates/node/src/agent/duty.rs
@@ -368,7 +368,13 @@
                 self.peers.send(conn, Message::Settings(record));
             }
             (Message::Settings(buf), _) => self.offer(&buf),
-            (Message::Entries(entries), None) => self.entries(entries),
+            (Message::Entries(entries), None) => {
+                // An entry's list may be older than the store's: it adds
+                // entries, and only the store's takes any away.
+                for entry in entries {
+                    self.peers.keep(&entry.peer);
+                }
+            }
             (Message::AgentRequest(request), None) => {
                 self.step(Input::Coordinator { from, request });
             }
--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -1,52 +1,43 @@
 //! The deciding thread of an entry: drives the entry's decisions, the
 //! coordinator's while this entry holds the term, and who holds it.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
-    hash::{DefaultHasher, Hash, Hasher},
-    sync::Arc,
-    time::Duration,
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, never, tick};
+use crossbeam::select;
+use figrill_coordination::adoption::Adoption;
+use figrill_coordination::coordinator::Coordinator;
+use figrill_coordination::entry::{CallId, Entry};
+use figrill_coordination::message::JobRequest;
+use figrill_coordination::term::Term;
+use figrill_coordination::{coordinator, entry, term};
+use figrill_protocol::message::Message;
+use figrill_state::boot::Boot;
+use figrill_state::clock::Clock;
+use figrill_state::error::Kind;
+use figrill_state::event::Code;
+use figrill_state::record::{
+    EntriesRecord, EntryAddress, SettingsRecord, TermRecord,
 };
+use figrill_state::settings::Tree;
+use figrill_state::store::LeaseId;
+use figrill_transport::http::{Responder, Server};
+use figrill_transport::peer::{Event as NetEvent, Net};
 
-use crossbeam::{
-    channel::{Receiver, never, tick},
-    select,
-};
-use figrill_coordination::{
-    adoption::Adoption,
-    coordinator::{self, Coordinator},
-    entry::{self, CallId, Entry},
-    message::{AgentReport, JobRequest},
-    term::{self, Term},
-};
-use figrill_protocol::message::{Beat, Message, Peer};
-use figrill_state::{
-    boot::Boot,
-    clock::Clock,
-    error::Kind,
-    event::Code,
-    ledger::ApplyError,
-    record::{EntriesRecord, EntryAddress, SettingsRecord, TermRecord},
-    settings::Tree,
-    store::LeaseId,
-};
-use figrill_transport::{
-    http::{Responder, Server},
-    peer::{ConnId, Event as NetEvent, Net},
-};
+use crate::api::{SharedView, not_run, refusal};
+use crate::config::Config;
+use crate::metrics::Journal;
+use crate::peers::Peers;
 
-use crate::{
-    api::{SharedView, View, json, not_run, refusal},
-    config::Config,
-    metrics::Journal,
-    peers::Peers,
-};
+use super::answers::render;
+use super::store_calls::{StoreCall, StoreCalls, StoreDone};
+use super::work::{Steps, Work};
 
-use super::{
-    answers::{CellBody, ProcessRow, StatusBody, render},
-    store_calls::{StoreCall, StoreCalls, StoreDone},
-    work::{Steps, Work},
-};
+mod operator;
+mod stored;
+mod streams;
 
 /// Time between two looks at deadlines.
 const TICK: Duration = Duration::from_millis(100);
@@ -442,294 +433,6 @@
         }
     }
 
-    fn stored(&mut self, done: StoreDone) {
-        self.with_steps(|this, steps| this.take_stored(done, steps));
-    }
-
-    fn take_stored(&mut self, done: StoreDone, steps: &mut Steps) {
-        match done {
-            StoreDone::Taken(result) => {
-                self.store_is(!matches!(
-                    result,
-                    Err(term::TakeError::Unavailable)
-                ));
-                let result = result.map(|(record, lease)| {
-                    self.lease = Some(lease);
-                    record
-                });
-                steps.push(Work::Term(term::Input::Taken(result)));
-            }
-            StoreDone::Renewed(result) => {
-                self.store_is(result != Err(term::RenewError::Unavailable));
-                steps.push(Work::Term(term::Input::Renewed(result)));
-            }
-            StoreDone::Claimed { job, result } => {
-                let input = entry::Input::Claimed { job, result };
-                steps.push(Work::Entry(input));
-            }
-            StoreDone::Read { job, result } => {
-                steps.push(Work::Entry(entry::Input::Read { job, result }));
-            }
-            StoreDone::TakenOver { job, version } => {
-                let input = entry::Input::TakenOver { job, version };
-                steps.push(Work::Entry(input));
-            }
-            StoreDone::Marked { run, result } => {
-                let input = coordinator::Input::Marked { run, result };
-                steps.push(Work::Coordinator(input));
-            }
-            StoreDone::Saved { job, ok } => {
-                let input = coordinator::Input::Saved { job, ok };
-                steps.push(Work::Coordinator(input));
-            }
-            StoreDone::Entries(found) => {
-                self.registering = false;
-                if let Some(found) = found {
-                    self.entries_are(found);
-                }
-            }
-            StoreDone::Applied { result, responder } => {
-                self.applied(result, responder, steps);
-            }
-            StoreDone::Settings(record) => self.offer(record, steps),
-        }
-    }
-
-    fn store_is(&mut self, ok: bool) {
-        if ok == self.store_ok {
-            return;
-        }
-        self.store_ok = ok;
-        let code = if ok {
-            Code::StoreBack
-        } else {
-            Code::StoreFailed
-        };
-        self.journal.say(code, "");
-    }
-
-    fn applied(
-        &mut self,
-        result: Result<SettingsRecord, ApplyError>,
-        responder: Responder,
-        steps: &mut Steps,
-    ) {
-        match result {
-            Ok(record) => {
-                responder.send(json(200, &record));
-                self.offer(record, steps);
-            }
-            Err(e) => {
-                self.journal.say(Code::SettingsRefused, format!("why={e}"));
-                responder.send(refusal(e.kind(), &e.to_string()));
-            }
-        }
-    }
-
-    /// Adopts settings if their revision is higher than the one in force.
-    fn offer(&mut self, record: SettingsRecord, steps: &mut Steps) {
-        let parsed = Tree::parse(&record.text, "settings");
-        let Ok(tree) = parsed else {
-            let detail = format!("revision={}", record.revision);
-            self.journal.say(Code::SettingsRefused, detail);
-            return;
-        };
-        if !self.adoption.offer(record.revision) {
-            return;
-        }
-        let detail =
-            format!("revision={} change={}", record.revision, record.change);
-        self.journal.say(Code::SettingsAdopted, detail);
-        self.store.adopted(record.revision);
-        self.tree = Arc::new(tree);
-        self.record = record;
-        self.publish();
-        let input = coordinator::Input::Settings(self.tree.clone());
-        steps.push(Work::Coordinator(input));
-        self.beat();
-    }
-
-    fn publish(&self) {
-        self.view.set(View {
-            tree: self.tree.clone(),
-            record: self.record.clone(),
-            draining: self.draining.is_some(),
-        });
-    }
-
-    fn entries_are(&mut self, entries: EntriesRecord) {
-        if entries == self.entries {
-            return;
-        }
-        self.entries = entries;
-        let mut keep: BTreeSet<String> = self
-            .entries
-            .entries
-            .iter()
-            .map(|e| e.peer.clone())
-            .collect();
-        keep.extend(self.boot.entries.iter().cloned());
-        keep.remove(&self.me.peer);
-        self.peers.keep_only(&keep);
-        let message = Message::Entries(self.entries.entries.clone());
-        self.peers.broadcast(&message, |p| p.worker.is_some());
-    }
-
-    fn net(&mut self, event: NetEvent) {
-        match event {
-            NetEvent::Up {
-                conn,
-                peer,
-                dialled,
-            } => {
-                self.up(conn, peer, dialled.as_deref());
-            }
-            NetEvent::Frame { conn, frame } => {
-                self.journal.timeline.observe(frame.stamp);
-                self.message(conn, frame.message);
-            }
-            NetEvent::Down { conn, why } => self.down(conn, &why),
-            NetEvent::DialFailed { address, .. } => {
-                let now = self.now();
-                self.peers.dial_failed(now, &address);
-            }
-            NetEvent::Refused { why } => {
-                self.journal.say(Code::PeerRefused, why);
-            }
-        }
-    }
-
-    fn up(&mut self, conn: ConnId, peer: Peer, dialled: Option<&str>) {
-        let worker = peer.worker.clone();
-        let beat = self.beat_message(&peer);
-        self.peers.up(conn, peer, dialled);
-        self.peers.send(conn, beat);
-        if let Some(worker) = worker {
-            let entries = self.entries.entries.clone();
-            self.peers.send(conn, Message::Entries(entries));
-            let input = coordinator::Input::AgentUp(worker);
-            self.step(Work::Coordinator(input));
-        } else {
-            self.entry_peers_changed();
-        }
-    }
-
-    fn down(&mut self, conn: ConnId, why: &str) {
-        let now = self.now();
-        let Some(peer) = self.peers.down(now, conn, why) else {
-            return;
-        };
-        if let Some(worker) = peer.worker {
-            let input = coordinator::Input::AgentDown {
-                worker: worker.name,
-                incarnation: worker.incarnation,
-            };
-            self.step(Work::Coordinator(input));
-        } else {
-            self.entry_peers_changed();
-        }
-    }
-
-    fn entry_peers_changed(&mut self) {
-        let entries: BTreeSet<u64> = self
-            .peers
-            .all()
-            .filter(|p| p.worker.is_none())
-            .map(|p| p.incarnation)
-            .collect();
-        let cell = self.boot.cell.clone();
-        let order = |incarnation: u64| {
-            let mut hasher = DefaultHasher::new();
-            (&cell, incarnation).hash(&mut hasher);
-            hasher.finish()
-        };
-        let mine = order(self.me.incarnation);
-        self.term.prefer(entries.iter().all(|e| order(*e) < mine));
-        self.step(Work::Entry(entry::Input::Entries(entries)));
-        self.with_steps(Self::follow);
-    }
-
-    fn message(&mut self, conn: ConnId, message: Message) {
-        let Some(peer) = self.peers.peer(conn) else {
-            return;
-        };
-        let incarnation = peer.incarnation;
-        let worker = peer.worker.as_ref().map(|w| w.name.clone());
-        match (message, worker) {
-            (Message::Beat(beat), _) => self.beat_from(conn, beat),
-            (Message::Pull, _) => {
-                let record = figrill_state::record::encode(&self.record);
-                self.peers.send(conn, Message::Settings(record));
-            }
-            (Message::Settings(record), _) => {
-                if let Some(record) = figrill_state::record::decode(&record) {
-                    self.with_steps(|this, steps| this.offer(record, steps));
-                }
-            }
-            (Message::AgentReport(report), Some(worker)) => {
-                if let AgentReport::Fenced { term } = report {
-                    self.step(Work::Term(term::Input::Fenced(term)));
-                }
-                let input = coordinator::Input::Agent {
-                    worker,
-                    incarnation,
-                    report,
-                };
-                self.step(Work::Coordinator(input));
-            }
-            (Message::JobRequest(request), None) => {
-                let from = incarnation;
-                let input = coordinator::Input::Entry { from, request };
-                self.step(Work::Coordinator(input));
-            }
-            (Message::JobReport(report), None)
-                // Only the coordinator that this entry follows may say how
-                // a job stands.
-                if self.followed == Some(incarnation) => {
-                    self.step(Work::Entry(entry::Input::Report(report)));
-                }
-            (Message::Wards(jobs), None) => {
-                let of = incarnation;
-                self.step(Work::Entry(entry::Input::Wards { of, jobs }));
-            }
-            _ => {}
-        }
-    }
-
-    fn beat_from(&mut self, conn: ConnId, beat: Beat) {
-        if self.adoption.is_behind(beat.revision) {
-            self.peers.send(conn, Message::Pull);
-        }
-        if beat.leading
-            && let Some(record) = beat.coordinator
-        {
-            self.step(Work::Term(term::Input::Heard(record)));
-        }
-    }
-
-    /// Entries tell one another who coordinates. Agents learn that from the
-    /// coordinator itself, and there are many of them, so their heartbeat
-    /// is the smallest that there is.
-    fn beat_message(&self, to: &Peer) -> Message {
-        let revision = self.adoption.revision();
-        if to.worker.is_some() {
-            return Message::Beat(Beat {
-                revision,
-                ..Beat::default()
-            });
-        }
-        Message::Beat(Beat {
-            revision,
-            coordinator: self.term.coordinator(),
-            leading: self.coordinator.is_some(),
-        })
-    }
-
-    fn beat(&mut self) {
-        self.next_beat = self.now() + BEAT_EVERY;
-        self.peers.beat(|peer| self.beat_message(peer));
-    }
-
     fn command(&mut self, command: Command) {
         match command {
             Command::Caller {
@@ -756,106 +459,6 @@
         }
     }
 
-    fn ask(&mut self, question: Question, responder: Responder) {
-        match question {
-            Question::Status => responder.send(json(200, &self.status())),
-            Question::Processes => {
-                responder.send(json(200, &self.processes()));
-            }
-            Question::Drain => {
-                self.drain();
-                responder.send(json(202, &self.status()));
-            }
-            Question::Apply(new) => self.apply(new, responder),
-        }
-    }
-
-    /// Checks new settings against the workers, then writes them. Only the
-    /// coordinator knows the workers; others point to it.
-    fn apply(&mut self, new: Box<NewSettings>, responder: Responder) {
-        let Some(coordinator) = &self.coordinator else {
-            responder.send(self.redirect());
-            return;
-        };
-        let shortfalls = coordinator.shortfalls(&new.tree);
-        if shortfalls.is_empty() {
-            let call = StoreCall::Apply { new, responder };
-            self.with_steps(|this, steps| this.store_call(call, steps));
-            return;
-        }
-        let lines: Vec<String> = shortfalls
-            .iter()
-            .map(|s| {
-                format!(
-                    "[workspace/{}] guarantee {}x{}: {} accelerators short",
-                    s.workspace, s.shape.0, s.shape.1, s.accelerators
-                )
-            })
-            .collect();
-        let workers = coordinator.summary().workers;
-        let detail =
-            format!("{}; {workers} workers are announced", lines.join("; "));
-        self.journal.say(Code::SettingsRefused, "why=shortfall");
-        responder.send(refusal(Kind::BadSettings, &detail));
-    }
-
-    fn redirect(&self) -> figrill_transport::http::Answer {
-        let known = self.term.coordinator().map(|r| r.incarnation);
-        let http = self
-            .peers
-            .all()
-            .find(|p| Some(p.incarnation) == known)
-            .map(|p| p.http.clone());
-        let mut answer = refusal(Kind::NoCoordinator, "");
-        if let Some(http) = http {
-            answer.status = 307;
-            answer.location = Some(format!("http://{http}/v1/settings"));
-        }
-        answer
-    }
-
-    fn status(&self) -> StatusBody {
-        let known = self.term.coordinator();
-        let agents = self.peers.all().filter(|p| p.worker.is_some()).count();
-        let cell = self.coordinator.as_ref().map(|c| {
-            let idle: BTreeMap<String, u32> = self
-                .tree
-                .workspaces()
-                .map(|(name, _)| (name.to_owned(), c.idle_guarantee(name)))
-                .collect();
-            CellBody::new(c.summary(), c.largest_block().1, idle)
-        });
-        StatusBody {
-            name: self.me.name.clone(),
-            revision: self.adoption.revision(),
-            draining: self.draining.is_some(),
-            coordinator: known.as_ref().map(|r| r.holder.clone()),
-            term: known.map_or(0, |r| r.term),
-            leading: self.coordinator.is_some(),
-            waiting_calls: self.entry.waiting_calls(),
-            agents,
-            entries: self.peers.all().count() - agents + 1,
-            cell,
-        }
-    }
-
-    fn processes(&self) -> Vec<ProcessRow> {
-        let row = |peer: &Peer| ProcessRow {
-            name: peer.name.clone(),
-            role: if peer.worker.is_some() {
-                "agent"
-            } else {
-                "entry"
-            },
-            http: peer.http.clone(),
-            peer: peer.peer.clone(),
-        };
-        let mut rows: Vec<ProcessRow> = self.peers.all().map(row).collect();
-        rows.push(row(self.peers.me()));
-        rows.sort_by(|a, b| a.name.cmp(&b.name));
-        rows
-    }
-
     fn drain(&mut self) {
         if self.draining.is_some() {
             return;
--- a/crates/transport/src/store_client.rs
+++ b/crates/transport/src/store_client.rs
@@ -76,12 +76,27 @@
         StoreError::Unavailable(why.to_owned())
     }
 
-    fn read(
+    /// Makes a call, and once more on a fresh connection if the first broke
+    /// off at once. Every call may be repeated: a swap that took effect
+    /// meets its own value, which the ledger counts as done.
+    fn call(
         &self,
-        answer: Result<Response<Body>, ureq::Error>,
+        call: impl Fn(&Agent) -> Sent,
     ) -> Result<Answer, StoreError> {
+        let first = call(&self.agent());
+        let sent = match first {
+            Err(ureq::Error::Io(_) | ureq::Error::ConnectionFailed) => {
+                let _ = self.unavailable("");
+                call(&self.agent())
+            }
+            other => other,
+        };
+        self.read(sent)
+    }
+
+    fn read(&self, sent: Sent) -> Result<Answer, StoreError> {
         let mut response =
-            answer.map_err(|e| self.unavailable(&e.to_string()))?;
+            sent.map_err(|e| self.unavailable(&e.to_string()))?;
         let version = response
             .headers()
             .get("x-version")
@@ -108,9 +123,10 @@
 
     fn value(&self, url: &str, wait: Duration) -> Got {
         let timeout = Some(wait + CALL_TIMEOUT);
-        let request = self.agent().get(url).config();
-        let answer = request.timeout_global(timeout).build().call();
-        let answer = self.read(answer)?;
+        let answer = self.call(|agent| {
+            let request = agent.get(url).config();
+            request.timeout_global(timeout).build().call()
+        })?;
         match answer.status {
             200 => Ok(Some(answer.versioned())),
             404 => Ok(None),
@@ -119,6 +135,8 @@
     }
 }
 
+type Sent = Result<Response<Body>, ureq::Error>;
+
 type Got = Result<Option<Versioned>, StoreError>;
 
 struct Answer {
@@ -159,7 +177,7 @@
         let lease = lease.map_or(String::new(), |l| format!("&lease={}", l.0));
         let base = &self.base;
         let url = format!("{base}/v1/kv/{key}?version={version}{lease}");
-        let answer = self.read(self.agent().put(&url).send(value))?;
+        let answer = self.call(|agent| agent.put(&url).send(value))?;
         match answer.status {
             200 => Ok(answer.version),
             409 if answer.version == 0 => Err(StoreError::Conflict(None)),
@@ -173,7 +191,7 @@
     fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         let ms = ttl.as_millis();
         let url = format!("{}/v1/leases?ttl_ms={ms}", self.base);
-        let answer = self.read(self.agent().post(&url).send_empty())?;
+        let answer = self.call(|agent| agent.post(&url).send_empty())?;
         let text = String::from_utf8_lossy(&answer.body);
         let id = text.trim().parse().ok();
         id.map(LeaseId).ok_or_else(|| answer.unexpected())
@@ -181,7 +199,7 @@
 
     fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
         let url = format!("{}/v1/leases/{}", self.base, lease.0);
-        let answer = self.read(self.agent().put(&url).send_empty())?;
+        let answer = self.call(|agent| agent.put(&url).send_empty())?;
         match answer.status {
             200 => Ok(()),
             410 => Err(StoreError::LeaseGone),
@@ -191,7 +209,7 @@
 
     fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
         let url = format!("{}/v1/leases/{}", self.base, lease.0);
-        self.read(self.agent().delete(&url).call()).map(|_| ())
+        self.call(|agent| agent.delete(&url).call()).map(|_| ())
     }
 
     fn watch(&self, key: &str, version: u64, wait: Duration) -> Got {
