Follow whoever fenced a bid; break the preferred worker in the quarantine test

Cause: a process whose bid was fenced noted the larger term without a name and then passed over the heartbeat that named its holder, so it followed nobody (a_coordinator_frozen_past_its_lease failed once; logs show the fencing and no submission after it).

The quarantine test broke worker 0, which gets work only if its agent connected first; it now breaks the worker that gets the first job.

--- a/crates/coordination/src/term.rs
+++ b/crates/coordination/src/term.rs
@@ -262,7 +262,10 @@
             self.settle_tie(&record, actions);
             return;
         }
-        if record.term <= self.known.term {
+        let nameless = self.known.incarnation == 0;
+        if record.term < self.known.term
+            || record.term == self.known.term && !nameless
+        {
             return;
         }
         self.known = record;
@@ -284,7 +287,7 @@
     fn fenced(&mut self, term: u64, actions: &mut Vec<Action>) {
         if self.leading.is_some_and(|mine| mine < term) {
             self.step_down(actions);
-            // Whoever has it, a later bid must be larger.
+            // Nobody has said yet who has it, but a later bid must be larger.
             self.known.term = self.known.term.max(term);
             self.known.incarnation = 0;
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -309,8 +309,18 @@
     a_worker_that_fails_everything_is_quarantined,
     { plan().agents(3) },
     |site| {
-        let url =
-            format!("http://{}/fault?fail_all=1", site.upstreams[0].http);
+        // The worker that is preferred while all are empty is the one to
+        // break; which it is depends on who connected first.
+        let first = site.operator.run(&site.http(), &echo_job("a", 1, 0, "f"));
+        assert_eq!(first.outcome(), "done", "{}", first.text);
+        let starts = |i: usize| {
+            let http = &site.upstreams[i].http;
+            let starts = site.operator.get(http, "/starts");
+            starts.body.as_array().map_or(0, Vec::len)
+        };
+        let at = (0..3).find(|i| starts(*i) > 0).expect("a worker");
+        let broken = &site.upstreams[at].http;
+        let url = format!("http://{broken}/fault?fail_all=1");
         let _ = site.operator.call("POST", &url, "");
         for i in 0..40 {
             let job = echo_job("a", 1, 0, &format!("q{i}"));
@@ -322,9 +332,7 @@
             |name: &str| events.iter().filter(|e| e.name == name).count();
         assert!(named("WorkerQuarantined") >= 1);
         // Once it is quarantined, only probes reach it.
-        let starts = site.operator.get(&site.upstreams[0].http, "/starts");
-        let starts = starts.body.as_array().map_or(0, Vec::len);
-        assert!(starts < 10, "{starts}");
+        assert!(starts(at) < 10, "{}", starts(at));
     }
 );
 
