--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -1,10 +1,8 @@
 //! The agent process.
 
 use std::{
-    io,
     sync::Arc,
     thread::{self, JoinHandle},
-    time::Duration,
 };
 
 use crossbeam::channel::{Sender, bounded};
@@ -23,7 +21,7 @@
 use crate::{
     api::SharedView,
     config::{
-        Config, HTTP_RING, NET_RING, StartError, advertised, announce,
+        Config, HTTP_RING, LINGER, NET_RING, StartError, advertised, announce,
         incarnation, local,
     },
     metrics::{Journal, Metrics},
@@ -37,9 +35,6 @@
 
 use duty::{Command, Duty};
 
-/// How long sockets live on after the last message was sent.
-const LINGER: Duration = Duration::from_millis(50);
-
 /// Where an agent's upstream comes from.
 pub enum Source {
     /// It announces itself over HTTP.
@@ -169,14 +164,3 @@
         self.runtime.stop();
     }
 }
-
-/// Starts a thread that ends with its ring.
-fn spawn_detached(
-    name: &str,
-    work: impl FnOnce() + Send + 'static,
-) -> io::Result<()> {
-    thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(work)
-        .map(|_| ())
-}
--- a/crates/node/src/agent/api.rs
+++ b/crates/node/src/agent/api.rs
@@ -32,7 +32,7 @@
 
 /// Starts the thread; it ends with its ring.
 pub(super) fn start(api: Api) -> io::Result<()> {
-    super::spawn_detached("api", move || {
+    crate::config::spawn_detached("api", move || {
         while let Ok(event) = api.calls.recv() {
             if let http::Event::Call(call) = event {
                 api.call(call);
--- a/crates/node/src/agent/discover.rs
+++ b/crates/node/src/agent/discover.rs
@@ -23,7 +23,7 @@
     store: Arc<dyn Store>,
     commands: Sender<Command>,
 ) -> io::Result<()> {
-    super::spawn_detached("discover", move || {
+    crate::config::spawn_detached("discover", move || {
         let mut found_any = false;
         loop {
             let found: Result<ledger::Read<EntriesRecord>, _> =
--- a/crates/node/src/agent/duty.rs
+++ b/crates/node/src/agent/duty.rs
@@ -267,7 +267,7 @@
             url: url.clone(),
             ok: false,
         };
-        let spawned = super::spawn_detached("fence", move || {
+        let spawned = crate::config::spawn_detached("fence", move || {
             let ok = client.fence(agent).is_ok();
             if !ok {
                 std::thread::sleep(FENCE_AGAIN);
--- a/crates/node/src/agent/parts.rs
+++ b/crates/node/src/agent/parts.rs
@@ -93,7 +93,7 @@
             stopping: stopping.clone(),
             commands: self.commands.clone(),
         };
-        super::spawn_detached("part", move || {
+        crate::config::spawn_detached("part", move || {
             runner.run(&input, checkpoint.as_deref());
         })?;
         self.running.insert(task, Running { upstream, stopping });
@@ -115,7 +115,7 @@
             stopping: running.stopping.clone(),
             commands: self.commands.clone(),
         };
-        let spawned = super::spawn_detached("stop", move || {
+        let spawned = crate::config::spawn_detached("stop", move || {
             stopper.stop(window);
         });
         if spawned.is_err() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,6 @@
 //! What a process is started with.
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, thread, time::Duration};
 
 use displaydoc::Display;
 use figrill_state::{boot::Boot, clock::Clock, store::Store};
@@ -82,3 +82,17 @@
         boot.peer_advertise.clone()
     }
 }
+
+/// How long sockets live on after the last message was handed to them.
+pub(crate) const LINGER: Duration = Duration::from_millis(50);
+
+/// Starts a thread that ends with its ring.
+pub(crate) fn spawn_detached(
+    name: &str,
+    work: impl FnOnce() + Send + 'static,
+) -> io::Result<()> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(work)
+        .map(|_| ())
+}
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,10 +1,8 @@
 //! The entry process.
 
 use std::{
-    io,
     sync::Arc,
     thread::{self, JoinHandle},
-    time::Duration,
 };
 
 use crossbeam::channel::{Sender, bounded};
@@ -22,8 +20,8 @@
 use crate::{
     api::SharedView,
     config::{
-        Config, HTTP_RING, NET_RING, STORE_RING, StartError, advertised,
-        announce, incarnation, local,
+        Config, HTTP_RING, LINGER, NET_RING, STORE_RING, StartError,
+        advertised, announce, incarnation, local,
     },
     metrics::{Journal, Metrics},
 };
@@ -150,9 +148,6 @@
     }
 }
 
-/// How long sockets live on after the last answer was given.
-const LINGER: Duration = Duration::from_millis(50);
-
 fn spawn(
     name: &str,
     work: impl FnOnce() + Send + 'static,
@@ -163,15 +158,4 @@
         .map_err(StartError::Thread)
 }
 
-/// Starts a thread that ends with its ring.
-fn spawn_detached(
-    name: &str,
-    work: impl FnOnce() + Send + 'static,
-) -> io::Result<()> {
-    thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(work)
-        .map(|_| ())
-}
-
 type SharedStore = Arc<dyn figrill_state::store::Store>;
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -32,7 +32,7 @@
 
 /// Starts the thread; it ends with its ring.
 pub(super) fn start(api: Api) -> io::Result<()> {
-    super::spawn_detached("api", move || {
+    crate::config::spawn_detached("api", move || {
         while let Ok(event) = api.calls.recv() {
             match event {
                 http::Event::Call(call) => api.call(call),
--- a/crates/node/src/entry/store_calls.rs
+++ b/crates/node/src/entry/store_calls.rs
@@ -31,7 +31,8 @@
 
 use crate::{config::Config, metrics::Metrics};
 
-use super::{SharedStore, spawn_detached};
+use super::SharedStore;
+use crate::config::spawn_detached;
 
 /// How long a watch for new settings waits at the store.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -8,6 +8,7 @@
 
 mod agent;
 mod frame;
+mod gang;
 mod job_wire;
 mod state;
 
--- a/crates/protocol/src/wire/frame.rs
+++ b/crates/protocol/src/wire/frame.rs
@@ -6,8 +6,9 @@
 
 use super::{
     JobId, WireError,
-    agent::{AgentReport, AgentRequest, MemberReport, MemberRequest, Run},
+    agent::{AgentReport, AgentRequest, Run},
     each,
+    gang::{MemberReport, MemberRequest},
     job_wire::{JobReport, JobRequest},
     state::{EntryAddress, Stamp, TermRecord, Worker},
 };
