A refused question about a job says nothing of that job

Ruled out: submissions, which nobody has seen by then.

Change: only a refused submission says "not_run".

--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -89,8 +89,14 @@
     /// Answers for a deciding thread that has ended.
     pub(super) fn refuse(self, kind: Kind) {
         match self {
-            Self::Caller { responder, .. } => {
-                responder.send(not_run(kind, "", None));
+            Self::Caller {
+                input, responder, ..
+            } => {
+                // Of a job that is only asked about, nothing is known here.
+                responder.send(match input {
+                    entry::Input::Submit { .. } => not_run(kind, "", None),
+                    _ => refusal(kind, ""),
+                });
             }
             Self::Ask { responder, .. } => responder.send(refusal(kind, "")),
             Self::Gone { .. } | Self::Drain => {}
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -261,7 +261,7 @@
     let (head, body) = request.into_parts();
     let body = match read_body(shared, &head.headers, body).await {
         Ok(body) => body,
-        Err(status) => return plain(status),
+        Err(status) => return plain(status, &head.method),
     };
     let id = shared.next.fetch_add(1, Ordering::Relaxed);
     let (tx, rx) = oneshot::channel();
@@ -271,6 +271,7 @@
         .and_then(|v| v.to_str().ok())
         .and_then(|v| v.strip_prefix("Bearer "))
         .map(str::to_owned);
+    let method = head.method.clone();
     let call = Call {
         id,
         method: head.method,
@@ -287,7 +288,7 @@
         answered: false,
     };
     if !push(&shared.events, Event::Call(Box::new(call))).await {
-        return plain(StatusCode::SERVICE_UNAVAILABLE);
+        return plain(StatusCode::SERVICE_UNAVAILABLE, &method);
     }
     // From here on the bytes count where the request is kept.
     drop(body.budget);
@@ -347,12 +348,17 @@
     render(Answer::json(status, text.as_bytes().to_vec()))
 }
 
-/// A request that was refused before anybody else saw it.
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let text = format!(
-        "{{\"error\":\"{}\",\"outcome\":\"not_run\"}}",
-        status.canonical_reason().unwrap_or("refused")
-    );
+/// A request that was refused before anybody else saw it. Only one that
+/// submits something can be said not to have run; a question about a job
+/// tells nothing of that job when it is refused.
+fn plain(status: StatusCode, method: &Method) -> Response<Full<Bytes>> {
+    let outcome = if *method == Method::POST {
+        ",\"outcome\":\"not_run\""
+    } else {
+        ""
+    };
+    let error = status.canonical_reason().unwrap_or("refused");
+    let text = format!("{{\"error\":\"{error}\"{outcome}}}");
     let mut answer = Answer::json(status.as_u16(), text.into_bytes());
     if status == StatusCode::SERVICE_UNAVAILABLE {
         answer.retry_after_s = Some(1);
