Never call a job queued before anything has confirmed that it exists

Cause: 'job show' polls with no wait. A tick between the poll and the store's word that there is no record answered 202 queued for any id, also one of zeros (one of five runs of the command line test; the id of zeros is the test's unknown job). Now such a call waits for the lookup, and after two seconds without any word it is refused with 503.

Ruled out: a job id generator that yields zeros (the id is the test's own).

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -390,6 +390,7 @@
             }
             JobReport::Stands { job, standing } => {
                 if let Some(track) = self.tracks.get_mut(&job) {
+                    track.confirmed = true;
                     track.running = standing == Standing::Running;
                 }
             }
--- a/crates/coordination/src/entry/calls.rs
+++ b/crates/coordination/src/entry/calls.rs
@@ -11,6 +11,10 @@
 use super::track::{Call, Kept, Track, Wait};
 use super::{Action, CallId, Entry, Reply};
 
+/// How much longer than it asked for a caller waits until it is known
+/// whether the job exists.
+const LOOKUP_MAX: Duration = Duration::from_secs(2);
+
 impl Entry {
     pub(super) fn poll(
         &mut self,
@@ -171,6 +175,10 @@
         let Some(track) = self.tracks.get_mut(&id) else {
             return;
         };
+        if !track.exists() {
+            self.give_up_lookups(now, id);
+            return;
+        }
         let due = |c: &Call| draining || now >= c.until;
         let released: Vec<Call> =
             track.calls.iter().copied().filter(due).collect();
@@ -193,4 +201,27 @@
             });
         }
     }
+
+    /// Refuses callers who asked for a job that neither its record nor the
+    /// coordinator has confirmed within [`LOOKUP_MAX`]. Nobody can say yet
+    /// whether there is such a job, so it must not be called queued.
+    fn give_up_lookups(&mut self, now: Duration, id: JobId) {
+        let draining = self.draining;
+        let Some(track) = self.tracks.get_mut(&id) else {
+            return;
+        };
+        let late = |c: &Call| draining || now >= c.until + LOOKUP_MAX;
+        let given_up: Vec<Call> =
+            track.calls.iter().copied().filter(late).collect();
+        track.calls.retain(|c| !late(c));
+        let kind = if draining {
+            Kind::Draining
+        } else {
+            Kind::StoreDown
+        };
+        for call in given_up {
+            self.calls.remove(&call.call);
+            self.refuse(call.call, None, kind);
+        }
+    }
 }
--- a/crates/coordination/src/entry/track.rs
+++ b/crates/coordination/src/entry/track.rs
@@ -58,6 +58,8 @@
     /// Whether it was submitted to a coordinator.
     pub(super) sent: bool,
     pub(super) kept: Kept,
+    /// Whether the coordinator has said that it knows the job.
+    pub(super) confirmed: bool,
     /// Whether the coordinator was asked about it without a record.
     pub(super) asked: bool,
     pub(super) bytes: usize,
@@ -84,12 +86,19 @@
             running: false,
             sent: false,
             kept: Kept::Here,
+            confirmed: false,
             asked: false,
             bytes: 0,
             outcome: None,
             ended: Duration::ZERO,
         }
     }
+
+    /// Whether a request, a record or the coordinator has shown that there
+    /// is such a job.
+    pub(super) fn exists(&self) -> bool {
+        self.job.is_some() || !self.workspace.is_empty() || self.confirmed
+    }
 }
 
 /// Bytes that an outcome takes.
