--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod coordinator;
 pub mod entry;
 pub mod message;
+pub mod scheduler;
 pub mod term;
--- /dev/null
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -0,0 +1,279 @@
+//! What is placed next, and in which order.
+//!
+//! Answers the heaviest bursts: work of priority 0 goes first and takes
+//! capacity back; within a priority, what is due first goes first; and work
+//! that has waited long keeps the room that it waits for.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use figrill_state::{
+    batch::{Placement, TaskId},
+    event::Code,
+};
+
+use super::{
+    Now, Scheduler,
+    job::Job,
+    place::{Shares, Site, Wish, scaled},
+};
+
+/// How long a unit waits before the room that it waits for is kept free.
+const RESERVE_AFTER: Duration = Duration::from_millis(1500);
+
+/// The most units that have room kept free for them at once.
+const RESERVATIONS_MAX: usize = 2;
+
+/// The longest that work of priority 0 waits for a better place.
+const URGENT_PICKY: Duration = Duration::from_millis(700);
+
+/// Tasks of one step that wait to be placed.
+#[derive(Clone, Debug)]
+pub(super) struct Unit {
+    pub(super) tasks: Vec<TaskId>,
+    pub(super) gang: bool,
+    pub(super) priority: u32,
+    /// Since when it could have been placed.
+    pub(super) ready: Duration,
+    due_ms: u64,
+}
+
+impl Unit {
+    /// Any task of it; they are alike.
+    pub(super) fn first(&self) -> TaskId {
+        self.tasks[0]
+    }
+
+    pub(super) fn count(&self) -> u32 {
+        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
+    }
+}
+
+impl Scheduler {
+    /// Places what can be placed.
+    pub(super) fn plan(&mut self, now: Now) {
+        let mut units = self.units(now);
+        if units.is_empty() {
+            return;
+        }
+        units.sort_by_key(|u| (u.priority, u.due_ms, u.first()));
+        let mut sites = self.sites(now);
+        let mut reserved = 0;
+        for unit in &units {
+            let placed = self.place_unit(now, unit, &mut sites);
+            if placed == unit.count() {
+                continue;
+            }
+            let waited = now.steady.saturating_sub(unit.ready);
+            if unit.priority == 0 {
+                self.reclaim(now, unit, &mut sites);
+            } else if waited >= RESERVE_AFTER && reserved < RESERVATIONS_MAX {
+                reserved += 1;
+                self.reserve(now, unit, &mut sites);
+            }
+        }
+    }
+
+    /// Everything that waits to be placed.
+    fn units(&mut self, now: Now) -> Vec<Unit> {
+        let mut units = Vec::new();
+        for job in self.jobs.values_mut() {
+            if job.progress.state.is_final() || job.batch.cancelled {
+                continue;
+            }
+            for occurrence in 0..job.batch.occurrences() {
+                if job.batch.due_ms(occurrence) > now.wall_ms {
+                    break;
+                }
+                units_of(job, occurrence, now, &mut units);
+            }
+        }
+        units
+    }
+
+    /// Workers that may take work now.
+    pub(super) fn sites(&self, now: Now) -> Vec<Site> {
+        let usable: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.is_heard(now.steady))
+            .filter_map(|(agent, w)| Some((agent, w, w.upstream.as_ref()?)))
+            .filter(|(_, _, upstream)| !upstream.draining)
+            .collect();
+        // A fault that seems to be everywhere is no fault of the workers.
+        let suspended = |w: &super::Worker| now.steady < w.suspended_until;
+        let bad = usable.iter().filter(|(_, w, _)| suspended(w)).count();
+        let believed = bad * 3 <= usable.len();
+        usable
+            .into_iter()
+            .filter(|(_, w, _)| !believed || !suspended(w))
+            .map(|(agent, worker, upstream)| Site {
+                agent: agent.clone(),
+                service: upstream.service.clone(),
+                rack: upstream.rack.clone(),
+                labels: upstream.labels.clone(),
+                free: worker.free(),
+                capacity: upstream.capacity,
+            })
+            .collect()
+    }
+
+    /// Places a unit as far as there is room; a gang whole or not at all.
+    /// Returns how many tasks were placed.
+    fn place_unit(
+        &mut self,
+        now: Now,
+        unit: &Unit,
+        sites: &mut [Site],
+    ) -> u32 {
+        let Some(job) = self.jobs.get(&unit.first().job) else {
+            return 0;
+        };
+        let Some(step) = job.batch.step(unit.first()) else {
+            return 0;
+        };
+        let there = there(job, unit.first());
+        let mut wish = Wish {
+            service: &job.batch.service,
+            step,
+            there: &there,
+            avoid: &job.avoid,
+        };
+        let spread = may_spread(now, unit, &wish, sites);
+        let shares = |wish: &Wish| -> Shares {
+            if unit.gang {
+                wish.whole(sites, unit.count(), spread).unwrap_or_default()
+            } else {
+                wish.most(sites, unit.count(), spread)
+            }
+        };
+        let mut found = shares(&wish);
+        if found.is_empty() && !job.avoid.is_empty() {
+            wish.avoid = &[];
+            found = shares(&wish);
+        }
+        let needs = step.needs;
+        let mut tasks = unit.tasks.iter().copied();
+        let mut placed = Vec::new();
+        for (site, count) in found {
+            sites[site].free = sites[site].free.minus(&scaled(&needs, count));
+            for task in tasks.by_ref().take(count as usize) {
+                placed.push((task, sites[site].agent.clone()));
+            }
+        }
+        let count = u32::try_from(placed.len()).unwrap_or(0);
+        self.commit_placement(now, unit, placed);
+        count
+    }
+
+    fn commit_placement(
+        &mut self,
+        now: Now,
+        unit: &Unit,
+        placed: Vec<(TaskId, String)>,
+    ) {
+        if placed.is_empty() {
+            return;
+        }
+        let id = unit.first().job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let last_run =
+            |job: &Job, task: TaskId| job.task(task).map_or(0, |t| t.run);
+        // Members of a gang share the number of their run.
+        let gang_run =
+            placed.iter().map(|(task, _)| last_run(job, *task)).max();
+        let needs = job.batch.step(unit.first()).map(|s| s.needs);
+        let needs = needs.unwrap_or_default();
+        let mut detail = String::new();
+        for (task, agent) in placed {
+            let Some(worker) = self.workers.get_mut(&agent) else {
+                continue;
+            };
+            let Some(life) = worker.incarnation().cloned() else {
+                continue;
+            };
+            let run = match (unit.gang, gang_run) {
+                (true, Some(run)) => run + 1,
+                _ => last_run(job, task) + 1,
+            };
+            let checkpoint = job.task(task);
+            let checkpoint =
+                checkpoint.map(|t| t.checkpoint.clone()).unwrap_or_default();
+            worker.occupied.insert(task, needs);
+            detail.push_str(&format!(" {task}/{run}@{agent}"));
+            let to = Placement {
+                agent,
+                upstream: life,
+            };
+            job.place(now.steady, task, run, to, &checkpoint);
+        }
+        let waited = now.steady.saturating_sub(unit.ready).as_millis();
+        let due_in = i128::from(unit.due_ms) - i128::from(now.wall_ms);
+        let detail = format!("waited_ms={waited} due_in_ms={due_in}{detail}");
+        self.dirty.insert(id);
+        self.waiting_changed = true;
+        self.note(Code::JobPlaced, id, &detail);
+    }
+}
+
+/// Tasks of the same step and occurrence by the agent that they run at.
+pub(super) fn there(job: &Job, task: TaskId) -> BTreeMap<String, u32> {
+    let mut there = BTreeMap::new();
+    for (id, run) in &job.runs {
+        if id.occurrence == task.occurrence && id.step == task.step {
+            *there.entry(run.agent.clone()).or_insert(0) += 1;
+        }
+    }
+    there
+}
+
+/// Whether a unit has waited long enough for its rack to go elsewhere,
+/// where its tasks take longer; or no rack could ever hold it.
+pub(super) fn may_spread(
+    now: Now,
+    unit: &Unit,
+    wish: &Wish,
+    sites: &[Site],
+) -> bool {
+    let estimate = Duration::from_millis(wish.step.estimate_ms);
+    let patience = if unit.priority == 0 {
+        estimate.min(URGENT_PICKY)
+    } else {
+        estimate
+    };
+    let waited = now.steady.saturating_sub(unit.ready);
+    waited >= patience || !wish.could_share_rack(sites, unit.count())
+}
+
+fn units_of(job: &mut Job, occurrence: u32, now: Now, units: &mut Vec<Unit>) {
+    let steps = u32::try_from(job.batch.steps.len()).unwrap_or(0);
+    for step in 0..steps {
+        if !job.is_step_open(occurrence, step) {
+            continue;
+        }
+        let gang = job.batch.steps[step as usize].gang;
+        let all: Vec<TaskId> = job.tasks_of(occurrence, step).collect();
+        let waits = |task: &TaskId| {
+            let done = job.task(*task).is_some_and(|t| t.done);
+            !done && !job.runs.contains_key(task)
+        };
+        let tasks: Vec<TaskId> = all.iter().copied().filter(waits).collect();
+        if tasks.is_empty() || gang && tasks.len() < all.len() {
+            continue;
+        }
+        let key = (occurrence, step);
+        let ready = *job.ready.entry(key).or_insert(now.steady);
+        for task in &tasks {
+            // The progress of every task exists before it is placed.
+            job.task_mut(*task);
+        }
+        units.push(Unit {
+            tasks,
+            gang,
+            priority: job.batch.priority,
+            ready,
+            due_ms: job.due_ms(occurrence),
+        });
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -0,0 +1,346 @@
+//! What an agent's report changes.
+
+use std::collections::BTreeSet;
+
+use figrill_state::{
+    batch::{Incarnation, TaskId},
+    event::Code,
+    runner::{End, Ended, Running, Snapshot, Upstream},
+};
+
+use super::{
+    HOLD, Now, Scheduler,
+    job::Phase,
+    message::{Grant, Report, ToAgent},
+    worker::Verdict,
+};
+
+/// Takes a report in and answers it.
+pub(super) fn take(
+    scheduler: &mut Scheduler,
+    now: Now,
+    agent: &str,
+    report: Report,
+) {
+    scheduler.workers.entry(agent.to_owned()).or_default();
+    for result in report.results {
+        scheduler.started(now, agent, result.task, result.started);
+    }
+    if let Some(gone) = &report.gone {
+        scheduler.life_is_over(now, agent, gone);
+    }
+    let Some(upstream) = report.upstream else {
+        return;
+    };
+    if !scheduler.meet(now, agent, &upstream) {
+        return;
+    }
+    if report.token != scheduler.token {
+        return;
+    }
+    let Some(snapshot) = report.snapshot else {
+        return;
+    };
+    if snapshot.born_ms != upstream.incarnation.born_ms {
+        return;
+    }
+    scheduler.take_snapshot(now, agent, &upstream.incarnation, &snapshot);
+    scheduler.grant(now, agent, snapshot.clock_ms);
+}
+
+impl Scheduler {
+    /// Takes note of an upstream. `false` if it is an earlier life than the
+    /// one that is known.
+    fn meet(&mut self, now: Now, agent: &str, upstream: &Upstream) -> bool {
+        let worker = self.workers.entry(agent.to_owned()).or_default();
+        let known = worker.incarnation().cloned();
+        let newer = known
+            .as_ref()
+            .is_none_or(|k| k.born_ms < upstream.incarnation.born_ms);
+        if !newer && known.as_ref() != Some(&upstream.incarnation) {
+            return false;
+        }
+        if newer {
+            // All that this agent's upstream was ordered before its present
+            // life is gone with the life it had then.
+            worker.clock = None;
+            worker.seen = 0;
+            worker.uncommitted.clear();
+            worker.strangers.clear();
+        }
+        worker.upstream = Some(upstream.clone());
+        if newer {
+            let detail = format!(
+                "agent={agent} upstream={} born={} rack={}",
+                upstream.incarnation.id,
+                upstream.incarnation.born_ms,
+                upstream.rack
+            );
+            let note = figrill_state::event::Note::new(Code::WorkerUp, detail);
+            self.out.push(super::Action::Note(note));
+            self.lose_other_lives(now, agent, &upstream.incarnation);
+        }
+        true
+    }
+
+    /// Releases what was placed on lives of an upstream before this one.
+    fn lose_other_lives(
+        &mut self,
+        now: Now,
+        agent: &str,
+        now_is: &Incarnation,
+    ) {
+        self.lose_where(now, agent, |placed| {
+            placed != now_is && placed.born_ms <= now_is.born_ms
+        });
+    }
+
+    fn life_is_over(&mut self, now: Now, agent: &str, gone: &Incarnation) {
+        if let Some(worker) = self.workers.get_mut(agent)
+            && worker.incarnation() == Some(gone)
+        {
+            worker.upstream = None;
+            worker.clock = None;
+        }
+        self.lose_where(now, agent, |placed| placed == gone);
+    }
+
+    fn lose_where(
+        &mut self,
+        _now: Now,
+        agent: &str,
+        lost: impl Fn(&Incarnation) -> bool,
+    ) {
+        let Some(worker) = self.workers.get(agent) else {
+            return;
+        };
+        let tasks: Vec<TaskId> = worker
+            .occupied
+            .keys()
+            .copied()
+            .filter(|task| {
+                let job = self.jobs.get(&task.job);
+                let run = job.and_then(|j| j.runs.get(task));
+                run.is_some_and(|r| lost(&r.upstream))
+            })
+            .collect();
+        for task in tasks {
+            self.release(task, "its upstream has ended");
+            self.stop_gang_of(task, "a member was lost");
+        }
+    }
+
+    fn take_snapshot(
+        &mut self,
+        now: Now,
+        agent: &str,
+        life: &Incarnation,
+        snapshot: &Snapshot,
+    ) {
+        let Some(worker) = self.workers.get_mut(agent) else {
+            return;
+        };
+        let known = worker.clock.map_or(0, |(clock, _)| clock);
+        if snapshot.clock_ms < known {
+            // Overtaken by a later one.
+            return;
+        }
+        worker.clock = Some((snapshot.clock_ms, now.steady));
+        let seen = worker.seen;
+        for ended in snapshot.ended.iter().filter(|e| e.number > seen) {
+            self.take_end(now, agent, ended);
+        }
+        for running in &snapshot.running {
+            self.see_running(now, agent, life, snapshot.clock_ms, running);
+        }
+        self.miss_absent(agent, snapshot);
+        self.count_strangers(agent, snapshot);
+    }
+
+    fn take_end(&mut self, now: Now, agent: &str, ended: &Ended) {
+        let id = ended.task;
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.seen = ended.number;
+        }
+        if !self.jobs.contains_key(&id.job) {
+            // Of a job that has ended or that nobody knows: nothing
+            // depends on it.
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.uncommitted.insert(ended.number, id.job);
+        }
+        self.dirty.insert(id.job);
+        let current = self.jobs.get_mut(&id.job).and_then(|job| {
+            let run = job.runs.get_mut(&id)?;
+            (run.agent == agent && run.run == ended.run).then_some(run)
+        });
+        let is_current = current.is_some();
+        if let Some(run) = current
+            && !ended.checkpoint.is_empty()
+        {
+            run.checkpoint.clone_from(&ended.checkpoint);
+        }
+        if is_current {
+            self.release(id, ended.end.name());
+        }
+        match ended.end {
+            End::Done => {
+                self.end_well(now, agent, id);
+            }
+            End::Failed if is_current => {
+                if let Some(job) = self.jobs.get_mut(&id.job) {
+                    job.count_failure(id, ended.run);
+                }
+                self.blame(now, id, agent, Verdict::Failed);
+                self.stop_gang_of(id, "a member failed");
+                self.judge_job(now, id.job);
+            }
+            _ if is_current => {
+                self.stop_gang_of(id, "a member ended");
+            }
+            _ => {}
+        }
+    }
+
+    fn end_well(&mut self, now: Now, agent: &str, id: TaskId) {
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.judge(now.steady, id.job, Verdict::Good);
+        }
+        self.finish(now, id);
+        // A later run of the same task has nothing left to do.
+        let gang = self
+            .jobs
+            .get(&id.job)
+            .and_then(|j| j.batch.step(id))
+            .is_some_and(|s| s.gang);
+        if !gang {
+            self.stop(id, "an earlier run is done");
+        }
+    }
+
+    fn see_running(
+        &mut self,
+        now: Now,
+        agent: &str,
+        life: &Incarnation,
+        clock_ms: u64,
+        running: &Running,
+    ) {
+        let Some(job) = self.jobs.get_mut(&running.task.job) else {
+            return;
+        };
+        let Some(run) = job.runs.get_mut(&running.task) else {
+            return;
+        };
+        if run.agent != agent
+            || run.run != running.run
+            || run.upstream != *life
+        {
+            return;
+        }
+        if let Phase::Ordered { .. } = run.phase {
+            run.phase = Phase::Running { seen_ms: clock_ms };
+            run.percent = running.percent;
+            run.began_at = running.percent;
+            run.moved = now.steady;
+        }
+        if running.percent > run.percent {
+            run.percent = running.percent;
+            run.moved = now.steady;
+        }
+        if !running.checkpoint.is_empty() {
+            run.checkpoint.clone_from(&running.checkpoint);
+        }
+    }
+
+    /// Releases runs that a snapshot should list and does not.
+    fn miss_absent(&mut self, agent: &str, snapshot: &Snapshot) {
+        let listed: BTreeSet<(TaskId, u32)> =
+            snapshot.running.iter().map(|r| (r.task, r.run)).collect();
+        let Some(worker) = self.workers.get(agent) else {
+            return;
+        };
+        let absent: Vec<TaskId> = worker
+            .occupied
+            .keys()
+            .copied()
+            .filter(|task| {
+                let job = self.jobs.get(&task.job);
+                let Some(run) = job.and_then(|j| j.runs.get(task)) else {
+                    return false;
+                };
+                let decided = match run.phase {
+                    Phase::Committing { .. } => return false,
+                    Phase::Ordered { settled_ms } => settled_ms,
+                    Phase::Running { seen_ms } => seen_ms,
+                };
+                snapshot.clock_ms > decided
+                    && !listed.contains(&(*task, run.run))
+            })
+            .collect();
+        for task in absent {
+            self.release(task, "the upstream does not list it");
+            self.stop_gang_of(task, "a member is not there");
+        }
+    }
+
+    /// Runs that no placement stands for are stopped, and occupy the worker
+    /// until they are gone.
+    fn count_strangers(&mut self, agent: &str, snapshot: &Snapshot) {
+        let mut strangers = Vec::new();
+        for running in &snapshot.running {
+            let job = self.jobs.get(&running.task.job);
+            let run = job.and_then(|j| j.runs.get(&running.task));
+            let ours =
+                run.is_some_and(|r| r.agent == agent && r.run == running.run);
+            if ours {
+                continue;
+            }
+            let step = job.and_then(|j| j.batch.step(running.task));
+            let needs = step.map(|s| s.needs);
+            strangers.push((running.task, running.run, needs));
+        }
+        let Some(worker) = self.workers.get_mut(agent) else {
+            return;
+        };
+        worker.strangers.clone_from(&strangers);
+        let Some(upstream) = worker.incarnation().cloned() else {
+            return;
+        };
+        for (task, run, _) in strangers {
+            let detail = format!(
+                "task={task} run={run} agent={agent} why=no placement"
+            );
+            self.note(Code::PartStopped, task.job, &detail);
+            let message = ToAgent::Stop {
+                upstream: upstream.clone(),
+                token: self.token,
+                task,
+                run,
+            };
+            self.send(agent, message);
+        }
+    }
+
+    /// Lets what runs on a worker go on.
+    fn grant(&mut self, now: Now, agent: &str, clock_ms: u64) {
+        let over_at = self.over_at(now.steady);
+        let token = self.token;
+        let Some(worker) = self.workers.get_mut(agent) else {
+            return;
+        };
+        let Some(upstream) = worker.incarnation().cloned() else {
+            return;
+        };
+        worker.over_at = over_at;
+        let hold = u64::try_from(HOLD.as_millis()).unwrap_or(0);
+        let grant = Grant {
+            token,
+            upstream,
+            deadline_ms: Some(clock_ms + hold),
+            acknowledged: worker.acknowledged(),
+        };
+        self.send(agent, ToAgent::Grant(grant));
+    }
+}
--- a/crates/core/commands.rs
+++ b/crates/core/commands.rs
@@ -9,6 +9,7 @@
 
 mod dev;
 mod job;
+mod platform;
 mod role;
 mod settings;
 mod site;
--- a/crates/core/commands/dev.rs
+++ b/crates/core/commands/dev.rs
@@ -68,7 +68,7 @@
     json: bool,
     log_level: &str,
 ) -> Result<Exit, CommandError> {
-    logging::start(log_level)?;
+    logging::start(log_level, logging::Out::Stderr)?;
     let text = read_file(file)?;
     let submit = Submit::parse(&text)
         .map_err(|e| CommandError::Usage(format!("{file}: {e}")))?;
--- a/crates/core/commands/role.rs
+++ b/crates/core/commands/role.rs
@@ -7,7 +7,11 @@
     config::Config,
     entry::EntryProcess,
 };
-use figrill_state::{boot::Boot, clock::SystemClock};
+use figrill_state::{
+    boot::Boot,
+    clock::SystemClock,
+    deployment::{self, Deployment},
+};
 use figrill_transport::{auth::Secret, store_client::StoreClient};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
@@ -19,7 +23,7 @@
     logging,
 };
 
-use super::read_file;
+use super::{platform, read_file};
 
 /// Runs an entry until it is told to stop and has drained.
 ///
@@ -30,6 +34,9 @@
     settings: &str,
     set: &[(String, String)],
 ) -> Result<Exit, CommandError> {
+    if let Some(deployment) = deployment(settings)? {
+        return platform::entry(deployment);
+    }
     let config = config(settings, set)?;
     let signals = signals()?;
     let entry = EntryProcess::start(config).map_err(failed)?;
@@ -47,6 +54,9 @@
     settings: &str,
     set: &[(String, String)],
 ) -> Result<Exit, CommandError> {
+    if let Some(deployment) = deployment(settings)? {
+        return platform::agent(deployment);
+    }
     let config = config(settings, set)?;
     let signals = signals()?;
     let agent =
@@ -56,15 +66,26 @@
     Ok(Exit::Done)
 }
 
-fn failed(e: impl std::fmt::Display) -> CommandError {
+pub(super) fn failed(e: impl std::fmt::Display) -> CommandError {
     CommandError::Usage(e.to_string())
 }
 
-fn signals() -> Result<Signals, CommandError> {
+/// The settings, if they are for a platform whose store holds everything.
+fn deployment(settings: &str) -> Result<Option<Deployment>, CommandError> {
+    let text = read_file(settings)?;
+    if !deployment::is_deployment(&text) {
+        return Ok(None);
+    }
+    let deployment = Deployment::parse(&text, settings).map_err(failed)?;
+    logging::start(&deployment.log_level, logging::Out::Stdout)?;
+    Ok(Some(deployment))
+}
+
+pub(super) fn signals() -> Result<Signals, CommandError> {
     Signals::new([SIGTERM, SIGINT]).map_err(|e: Error| failed(e))
 }
 
-fn on_signal(
+pub(super) fn on_signal(
     mut signals: Signals,
     drain: impl Fn() + Send + 'static,
 ) -> Result<(), CommandError> {
@@ -85,7 +106,7 @@
 ) -> Result<Config, CommandError> {
     let text = read_file(settings)?;
     let boot = Boot::parse(&text, settings, set).map_err(failed)?;
-    logging::start(&boot.log_level)?;
+    logging::start(&boot.log_level, logging::Out::Stderr)?;
     if boot.store.is_empty() {
         return Err(CommandError::Usage(format!(
             "{settings}: [process] needs store, such as \
--- a/crates/core/logging.rs
+++ b/crates/core/logging.rs
@@ -7,12 +7,21 @@
 
 use crate::exit::CommandError;
 
+/// Where logs go.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Out {
+    /// The standard output.
+    Stdout,
+    /// The standard error stream, where the output is for a script.
+    Stderr,
+}
+
 /// Starts logging at a level such as `info`.
 ///
 /// # Errors
 ///
 /// [`CommandError::Usage`] if there is no such level.
-pub fn start(level: &str) -> Result<(), CommandError> {
+pub fn start(level: &str, out: Out) -> Result<(), CommandError> {
     let filter = LevelFilter::from_str(level).map_err(|_| {
         CommandError::Usage(format!(
             "log level {level}: write off, error, warn, info or debug"
@@ -28,6 +37,9 @@
         .add_filter_allow_str("figrill")
         .build();
     // A second start in one process keeps the first.
-    let _ = WriteLogger::init(filter, config, std::io::stderr());
+    let _ = match out {
+        Out::Stdout => WriteLogger::init(filter, config, std::io::stdout()),
+        Out::Stderr => WriteLogger::init(filter, config, std::io::stderr()),
+    };
     Ok(())
 }
--- /dev/null
+++ b/crates/node/src/fleet/callers.rs
@@ -0,0 +1,259 @@
+//! What a caller is told, from the configuration and the store alone.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use crossbeam::channel::Receiver;
+use figrill_state::{
+    batch::{Batch, BatchId},
+    callers::{Ask, Callers, Request, Tell},
+    catalog::Queue,
+    clock::Clock,
+    event::{Code, Note},
+    job::JobId,
+    kv::Kv,
+};
+use figrill_transport::http::{Answer, Call, Event};
+
+use super::{
+    catalog::Shared,
+    stored::{self, Known, Patience, Written},
+};
+use crate::metrics::Journal;
+
+/// How long a caller waits if it does not say so.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Kept of a caller's patience for the way back.
+const WAY_BACK: Duration = Duration::from_millis(250);
+
+/// The longest that one try of the store may take.
+const TRY: Duration = Duration::from_millis(700);
+
+/// The longest that a caller is kept while the store does not do what it
+/// is asked: another entry may reach the store where this one does not.
+const TRIES: Duration = Duration::from_millis(1600);
+
+/// Time between two tries.
+const AGAIN: Duration = Duration::from_millis(60);
+
+/// When a caller may come again after a refusal, in seconds.
+const RETRY_AFTER_S: u32 = 1;
+
+type CallersOf = dyn Callers<Call = Call, Answer = Answer>;
+
+/// Answers callers; clones share everything.
+#[derive(Clone)]
+pub(super) struct Desk {
+    pub(super) kv: Arc<dyn Kv>,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) catalog: Arc<Shared>,
+    pub(super) callers: Arc<CallersOf>,
+    pub(super) journal: Journal,
+    /// Callers that are being answered.
+    pub(super) open: Arc<AtomicUsize>,
+}
+
+/// One caller's patience.
+struct Clocked<'a> {
+    clock: &'a dyn Clock,
+    until: Duration,
+}
+
+impl Patience for Clocked<'_> {
+    fn left(&self) -> Duration {
+        self.until.saturating_sub(self.clock.now()).min(TRY)
+    }
+
+    fn pause(&self) {
+        thread::sleep(AGAIN);
+    }
+}
+
+impl Desk {
+    /// Answers callers until the ring ends.
+    pub(super) fn run(&self, calls: &Receiver<Event>) {
+        for event in calls {
+            let Event::Call(call) = event else {
+                continue;
+            };
+            self.open.fetch_add(1, Ordering::Relaxed);
+            let begun = self.clock.now();
+            let request = self.callers.request(&call);
+            let (tell, id) = self.tell(&request, &call.body, begun);
+            let took = self.clock.now().saturating_sub(begun);
+            self.note(&request, &tell, id, took);
+            call.responder.send(self.callers.answer(&tell));
+            self.open.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    fn note(
+        &self,
+        request: &Request,
+        tell: &Tell,
+        id: Option<BatchId>,
+        took: Duration,
+    ) {
+        self.journal.metrics.call("caller", tell.name());
+        self.journal.metrics.time("caller", took);
+        let code = match tell {
+            Tell::Accepted => Code::JobAccepted,
+            Tell::CancelAccepted => Code::JobCancelled,
+            Tell::State(_) | Tell::Pending(_) => Code::JobAnswered,
+            _ => Code::JobRefused,
+        };
+        let version = self.catalog.get().map_or(0, |c| c.version);
+        let detail = format!(
+            "ask={:?} told={tell:?} path={} version={version} took_ms={}",
+            request.ask,
+            request.path,
+            took.as_millis()
+        );
+        let job = id.map(|id| JobId(u128::from(id.0)));
+        self.journal.note(&Note { code, job, detail });
+    }
+
+    fn tell(
+        &self,
+        request: &Request,
+        body: &[u8],
+        begun: Duration,
+    ) -> (Tell, Option<BatchId>) {
+        let retry_after_s = RETRY_AFTER_S;
+        let Some(catalog) = self.catalog.get() else {
+            return (Tell::NotRun { retry_after_s }, None);
+        };
+        let Some(queue) = catalog.queue(&request.host, &request.path) else {
+            return (Tell::NoSuchQueue, None);
+        };
+        let key = request.key.as_deref();
+        let workspace = key.and_then(|k| catalog.keys.get(k));
+        if workspace.is_none() && !queue.public {
+            return (Tell::UnknownKey, None);
+        }
+        let workspace = workspace.map(String::as_str).unwrap_or_default();
+        let patience = self.patience(request, begun);
+        let id = self.callers.id(&request.path, &queue.prefix);
+        let tell = match (request.ask, id) {
+            (Some(Ask::Submit), Some(id)) => {
+                self.submit(queue, workspace, id, body, &patience)
+            }
+            (Some(Ask::Show), Some(id)) => self.show(id, &patience),
+            (Some(Ask::Show), None) if request.path == queue.prefix => {
+                self.pending(&queue.name, &patience)
+            }
+            (Some(Ask::Cancel), Some(id)) => self.cancel(id, &patience),
+            _ => Tell::Malformed("no such call".to_owned()),
+        };
+        (tell, id)
+    }
+
+    fn patience(&self, request: &Request, begun: Duration) -> Clocked<'_> {
+        let whole = request.patience.unwrap_or(PATIENCE);
+        let usable = whole.saturating_sub(WAY_BACK).min(TRIES);
+        Clocked {
+            clock: &*self.clock,
+            until: begun + usable,
+        }
+    }
+
+    fn submit(
+        &self,
+        queue: &Queue,
+        workspace: &str,
+        id: BatchId,
+        body: &[u8],
+        patience: &dyn Patience,
+    ) -> Tell {
+        let posted = match self.callers.submission(body) {
+            Ok(posted) => posted,
+            Err(why) => return Tell::Malformed(why),
+        };
+        let batch = Batch {
+            id,
+            workspace: workspace.to_owned(),
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            priority: queue.priority,
+            attempts: queue.attempts,
+            stretch: queue.stretch,
+            target: queue.target,
+            payload: posted.payload,
+            steps: posted.steps,
+            schedule: posted.schedule,
+            accepted_ms: wall_ms(&*self.clock),
+            cancelled: false,
+        };
+        if let Some(why) = batch.problem() {
+            return Tell::Malformed(why);
+        }
+        let retry_after_s = RETRY_AFTER_S;
+        match stored::create(&*self.kv, &batch, patience) {
+            Written::Stands => Tell::Accepted,
+            Written::Unsettled => Tell::Unsettled,
+            Written::NotDone | Written::Missing => {
+                Tell::NotRun { retry_after_s }
+            }
+        }
+    }
+
+    fn cancel(&self, id: BatchId, patience: &dyn Patience) -> Tell {
+        match stored::cancel(&*self.kv, id, patience) {
+            Written::Stands => Tell::CancelAccepted,
+            Written::Missing => Tell::NoSuchJob,
+            Written::Unsettled => Tell::Unsettled,
+            Written::NotDone => Tell::TryLater {
+                retry_after_s: RETRY_AFTER_S,
+            },
+        }
+    }
+
+    fn show(&self, id: BatchId, patience: &dyn Patience) -> Tell {
+        ask(patience, |left| {
+            Ok(match stored::state(&*self.kv, id, left)? {
+                Known::State(state) => Tell::State(state),
+                Known::Missing => Tell::NoSuchJob,
+            })
+        })
+    }
+
+    fn pending(&self, queue: &str, patience: &dyn Patience) -> Tell {
+        ask(patience, |left| {
+            stored::waiting(&*self.kv, queue, left).map(Tell::Pending)
+        })
+    }
+}
+
+/// Asks the store until it answers or the caller's patience ends.
+fn ask(
+    patience: &dyn Patience,
+    read: impl Fn(Duration) -> Result<Tell, figrill_state::kv::KvError>,
+) -> Tell {
+    loop {
+        let left = patience.left();
+        if left.is_zero() {
+            return Tell::TryLater {
+                retry_after_s: RETRY_AFTER_S,
+            };
+        }
+        match read(left) {
+            Ok(tell) => return tell,
+            Err(e) => log::debug!("the store did not answer a question: {e}"),
+        }
+        patience.pause();
+    }
+}
+
+/// Milliseconds since 1970.
+pub(super) fn wall_ms(clock: &dyn Clock) -> u64 {
+    let since = clock.wall().duration_since(std::time::UNIX_EPOCH);
+    let ms = since.unwrap_or_default().as_millis();
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/fleet/catalog.rs
@@ -0,0 +1,135 @@
+//! The operators' configuration: adopted as its version rises, never lower.
+
+use std::{
+    sync::{
+        Arc, PoisonError, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use figrill_state::{
+    catalog::Catalog,
+    event::Code,
+    kv::{Change, KvError},
+};
+
+use super::{EntryParts, STORE_AGAIN, STORE_TIMEOUT};
+use crate::metrics::Journal;
+
+/// How long a watch waits before the configuration is read anyway: a watch
+/// may miss changes without a sign.
+const WATCH: Duration = Duration::from_millis(800);
+
+/// What the other threads see.
+#[derive(Default)]
+pub(super) struct Shared {
+    catalog: RwLock<Option<Arc<Catalog>>>,
+    /// Whether the store answered this process lately.
+    pub(super) store_up: AtomicBool,
+}
+
+impl Shared {
+    pub(super) fn get(&self) -> Option<Arc<Catalog>> {
+        let catalog = self.catalog.read();
+        catalog.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Adopts a configuration if its version is higher than what is in
+    /// force.
+    pub(super) fn adopt(&self, catalog: Catalog) -> bool {
+        let mut slot =
+            self.catalog.write().unwrap_or_else(PoisonError::into_inner);
+        let newer = slot.as_ref().is_none_or(|c| c.version < catalog.version);
+        if newer {
+            *slot = Some(Arc::new(catalog));
+        }
+        newer
+    }
+}
+
+/// Follows the configuration for good.
+pub(super) fn follow(parts: &EntryParts, shared: &Shared, journal: &Journal) {
+    let mut revision = 0;
+    let mut failing = false;
+    loop {
+        let read = read(parts, shared, journal);
+        note_store(shared, journal, &read, &mut failing);
+        match read {
+            Ok(at) => revision = at.max(revision),
+            Err(_) => {
+                thread::sleep(STORE_AGAIN);
+                continue;
+            }
+        }
+        let watched = parts.kv.watch(parts.catalog_key, revision, WATCH);
+        match watched {
+            Ok(changes) => {
+                for change in changes.changes {
+                    if let Change::Put(item) = change {
+                        revision = item.revision.max(revision);
+                        offer(parts, shared, journal, &item.value);
+                    }
+                }
+            }
+            Err(KvError::Compacted) => {}
+            Err(e) => {
+                log::debug!("the watch of {} ended: {e}", parts.catalog_key)
+            }
+        }
+    }
+}
+
+fn read(
+    parts: &EntryParts,
+    shared: &Shared,
+    journal: &Journal,
+) -> Result<u64, KvError> {
+    let Some(item) = parts.kv.get(parts.catalog_key, STORE_TIMEOUT)? else {
+        return Ok(0);
+    };
+    offer(parts, shared, journal, &item.value);
+    Ok(item.revision)
+}
+
+fn offer(
+    parts: &EntryParts,
+    shared: &Shared,
+    journal: &Journal,
+    bytes: &[u8],
+) {
+    let catalog = match (parts.decode_catalog)(bytes) {
+        Ok(catalog) => catalog,
+        Err(e) => {
+            journal.say(Code::SettingsRefused, format!("why={e}"));
+            return;
+        }
+    };
+    let detail = format!(
+        "version={} queues={} workspaces={}",
+        catalog.version,
+        catalog.queues.len(),
+        catalog.workspaces.len()
+    );
+    if shared.adopt(catalog) {
+        journal.say(Code::SettingsAdopted, detail);
+    }
+}
+
+fn note_store(
+    shared: &Shared,
+    journal: &Journal,
+    read: &Result<u64, KvError>,
+    failing: &mut bool,
+) {
+    shared.store_up.store(read.is_ok(), Ordering::Relaxed);
+    match read {
+        Err(e) if !*failing => {
+            journal.say(Code::StoreFailed, format!("why={e}"));
+        }
+        Ok(_) if *failing => journal.say(Code::StoreBack, ""),
+        _ => {}
+    }
+    *failing = read.is_err();
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod agent;
 pub mod config;
 pub mod entry;
+pub mod fleet;
 pub mod metrics;
 
 mod api;
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -4,6 +4,7 @@
     AgentReport, AgentRequest, JobReport, JobRequest, MemberReport,
     MemberRequest, Run,
 };
+use figrill_coordination::scheduler::message::{Report, ToAgent};
 use figrill_state::{
     event::Stamp,
     job::JobId,
@@ -113,4 +114,8 @@
     JobRequest(JobRequest),
     /// Coordinator to entry.
     JobReport(JobReport),
+    /// Coordinator to agent, where the store holds every promise.
+    ToAgent(ToAgent),
+    /// Agent to coordinator, where the store holds every promise.
+    Report(Box<Report>),
 }
--- a/crates/protocol/src/wire.rs
+++ b/crates/protocol/src/wire.rs
@@ -7,6 +7,7 @@
 use figrill_state::{error, job};
 
 mod agent;
+mod dispatch;
 mod frame;
 mod gang;
 mod job_wire;
--- a/crates/protocol/src/wire/frame.rs
+++ b/crates/protocol/src/wire/frame.rs
@@ -7,6 +7,7 @@
 use super::{
     JobId, WireError,
     agent::{AgentReport, AgentRequest, Run},
+    dispatch::{Report, ToAgent},
     each,
     gang::{MemberReport, MemberRequest},
     job_wire::{JobReport, JobRequest},
@@ -132,6 +133,8 @@
     },
     JobRequest(JobRequest),
     JobReport(JobReport),
+    ToAgent(ToAgent),
+    Report(Report),
 }
 
 impl From<crate::message::Message> for Message {
@@ -175,6 +178,8 @@
             },
             D::JobRequest(a) => Self::JobRequest(a.into()),
             D::JobReport(a) => Self::JobReport(a.into()),
+            D::ToAgent(a) => Self::ToAgent(a.into()),
+            D::Report(a) => Self::Report((*a).into()),
         }
     }
 }
@@ -216,6 +221,8 @@
             },
             Message::JobRequest(a) => Self::JobRequest(a.try_into()?),
             Message::JobReport(a) => Self::JobReport(a.try_into()?),
+            Message::ToAgent(a) => Self::ToAgent(a.try_into()?),
+            Message::Report(a) => Self::Report(Box::new(a.try_into()?)),
         })
     }
 }
--- a/crates/state/src/clock.rs
+++ b/crates/state/src/clock.rs
@@ -47,6 +47,25 @@
     }
 }
 
+/// The machine's clocks, where time also passes while it is suspended. A
+/// lease goes on lapsing then, so whoever holds one needs this clock.
+#[derive(Debug, Default)]
+pub struct BootClock;
+
+impl Clock for BootClock {
+    fn now(&self) -> Duration {
+        let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(
+            u64::try_from(now.tv_sec).unwrap_or(0),
+            u32::try_from(now.tv_nsec).unwrap_or(0),
+        )
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
 /// A clock that stands still until it is moved.
 #[derive(Debug, Default, Clone)]
 pub struct ManualClock {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,16 +9,22 @@
 //! assert_eq!(tree.workspace("acme").unwrap().weight, 2);
 //! ```
 
+pub mod batch;
 pub mod boot;
+pub mod callers;
+pub mod catalog;
 pub mod clock;
+pub mod deployment;
 pub mod digest;
 pub mod error;
 pub mod event;
 pub mod ini_file;
 pub mod job;
+pub mod kv;
 pub mod ledger;
 pub mod record;
 pub mod request;
+pub mod runner;
 pub mod settings;
 pub mod store;
 pub mod upstream;
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -68,6 +68,8 @@
     pub query: String,
     /// The bearer token, if it has one.
     pub token: Option<String>,
+    /// Its headers.
+    pub headers: http::HeaderMap,
     /// Its body.
     pub body: Bytes,
     /// Whether it comes from this machine.
@@ -278,6 +280,7 @@
         path: head.uri.path().to_owned(),
         query: head.uri.query().unwrap_or_default().to_owned(),
         token,
+        headers: head.headers,
         body: body.bytes,
         local,
         responder: Responder(tx),
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod auth;
+pub mod client;
 pub mod http;
 pub mod peer;
 pub mod runtime;
--- a/crates/transport/src/store_client.rs
+++ b/crates/transport/src/store_client.rs
@@ -21,36 +21,17 @@
 };
 use ureq::{Agent, Body, http::Response};
 
+use crate::client::agent;
+
 /// How long a call may take besides the time that it is asked to wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Connections that are kept open.
-const IDLE_CONNECTIONS: usize = 8;
-
-/// How long an idle connection is kept: less than any server does, so that
-/// a call never meets one that is being closed.
-const IDLE_AGE: Duration = Duration::from_secs(3);
-
 /// A client; it may be shared between threads.
 pub struct StoreClient {
     base: String,
     agent: Mutex<Agent>,
 }
 
-/// An agent that reports a status instead of failing on it.
-pub(crate) fn agent(timeout: Duration) -> Agent {
-    Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_global(Some(timeout))
-        .max_idle_age(IDLE_AGE)
-        .max_idle_connections(IDLE_CONNECTIONS)
-        .max_idle_connections_per_host(IDLE_CONNECTIONS)
-        .no_delay(true)
-        .proxy(None)
-        .build()
-        .new_agent()
-}
-
 impl StoreClient {
     /// A client for the store at `base`, such as `http://10.0.0.1:2000`.
     #[must_use]
@@ -72,7 +53,7 @@
     fn unavailable(&self, why: &str) -> StoreError {
         let mut agent =
             self.agent.lock().unwrap_or_else(PoisonError::into_inner);
-        *agent = self::agent(CALL_TIMEOUT);
+        *agent = crate::client::agent(CALL_TIMEOUT);
         StoreError::Unavailable(why.to_owned())
     }
 
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -24,7 +24,7 @@
 use serde::{Deserialize, Serialize};
 use ureq::{Agent, Body, http::Response};
 
-use crate::store_client::agent;
+use crate::client::agent;
 
 /// How long a call may take besides the time that it is asked to wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
