Start watches at the listing's revision; stop runs only for claims or small losses

Now claims within the guarantee wait a second for runs that are about to end, and work beyond it stops others only for a loss under three tenths of its own.

--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -202,6 +202,12 @@
         self.runs.insert(task, run);
     }
 
+    /// The most accelerators that one of its steps holds at once.
+    pub(super) fn most_accelerators(&self) -> u64 {
+        let of = |s: &Step| s.needs.accelerators * u64::from(s.count);
+        self.batch.steps.iter().map(of).max().unwrap_or(0)
+    }
+
     /// The latest end that the caller still counts as in time, in
     /// milliseconds since 1970.
     pub(super) fn due_ms(&self, occurrence: u32) -> u64 {
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -4,10 +4,13 @@
 //! capacity back; within a priority, what is due first goes first; and work
 //! that has waited long keeps the room that it waits for.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use figrill_state::{
-    batch::{Placement, TaskId},
+    batch::{BatchId, Placement, TaskId},
     event::Code,
 };
 
@@ -35,6 +38,8 @@
     /// Since when it could have been placed.
     pub(super) ready: Duration,
     due_ms: u64,
+    /// Whether its job is within its workspace's guarantee.
+    pub(super) claim: bool,
 }
 
 impl Unit {
@@ -55,7 +60,7 @@
         if units.is_empty() {
             return;
         }
-        units.sort_by_key(|u| (u.priority, u.due_ms, u.first()));
+        units.sort_by_key(|u| (u.priority, !u.claim, u.due_ms, u.first()));
         let mut sites = self.sites(now);
         let mut reserved = 0;
         for unit in &units {
@@ -75,6 +80,7 @@
 
     /// Everything that waits to be placed.
     fn units(&mut self, now: Now) -> Vec<Unit> {
+        let claims = self.claims();
         let mut units = Vec::new();
         for job in self.jobs.values_mut() {
             if job.progress.state.is_final() || job.batch.cancelled {
@@ -84,12 +90,40 @@
                 if job.batch.due_ms(occurrence) > now.wall_ms {
                     break;
                 }
-                units_of(job, occurrence, now, &mut units);
+                let claim = claims.contains(&job.batch.id);
+                units_of(job, occurrence, now, claim, &mut units);
             }
         }
         units
     }
 
+    /// Jobs of priority 0 that fit into the guarantee of their workspace,
+    /// in the order in which they were accepted.
+    fn claims(&self) -> BTreeSet<BatchId> {
+        let mut open: Vec<&Job> = self
+            .jobs
+            .values()
+            .filter(|j| j.batch.priority == 0)
+            .filter(|j| !j.progress.state.is_final())
+            .collect();
+        open.sort_by_key(|j| (j.batch.accepted_ms, j.batch.id));
+        let mut left: BTreeMap<&str, u64> = self
+            .workspaces
+            .iter()
+            .map(|(name, w)| (name.as_str(), w.guaranteed))
+            .collect();
+        let mut claims = BTreeSet::new();
+        for job in open {
+            let need = job.most_accelerators();
+            let left = left.entry(&job.batch.workspace).or_insert(0);
+            if need <= *left {
+                *left -= need;
+                claims.insert(job.batch.id);
+            }
+        }
+        claims
+    }
+
     /// Workers that may take work now.
     pub(super) fn sites(&self, now: Now) -> Vec<Site> {
         let usable: Vec<_> = self
@@ -246,7 +280,13 @@
     waited >= patience || !wish.could_share_rack(sites, unit.count())
 }
 
-fn units_of(job: &mut Job, occurrence: u32, now: Now, units: &mut Vec<Unit>) {
+fn units_of(
+    job: &mut Job,
+    occurrence: u32,
+    now: Now,
+    claim: bool,
+    units: &mut Vec<Unit>,
+) {
     let steps = u32::try_from(job.batch.steps.len()).unwrap_or(0);
     for step in 0..steps {
         if !job.is_step_open(occurrence, step) {
@@ -274,6 +314,7 @@
             priority: job.batch.priority,
             ready,
             due_ms: job.due_ms(occurrence),
+            claim,
         });
     }
 }
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -1,7 +1,7 @@
 //! Room for what cannot be placed now: taken back from lower priorities
 //! for work of priority 0, or kept free as it falls free.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use figrill_state::{
     batch::{Resources, TaskId},
@@ -29,14 +29,24 @@
 }
 
 /// How room is made.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Way {
-    /// Runs of lower priority are stopped; the cost is the work lost.
-    Stop,
+    /// Runs of lower priority are stopped; the cost is the work lost. What
+    /// is expected to end within `patience` seconds costs nothing and is
+    /// left to end.
+    Stop { patience: f64 },
     /// Nothing is stopped; the cost is the time until runs end.
     Wait,
 }
 
+/// How long a claim waits for runs that end by themselves. It leaves time
+/// for a stop and a start within the bound on claims.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(1000);
+
+/// How much work may be lost for work of priority 0 beyond its guarantee,
+/// as a share of that work.
+const LOSS_SHARE: f64 = 0.3;
+
 impl Scheduler {
     /// Stops the runs of lower priority that cost least and make room for a
     /// unit, and keeps that room for it.
@@ -46,17 +56,36 @@
         unit: &Unit,
         sites: &mut [Site],
     ) {
-        let offers = self.choose(now, unit, sites, Way::Stop);
+        let waited = now.steady.saturating_sub(unit.ready);
+        let patience = CLAIM_PATIENCE.saturating_sub(waited).as_secs_f64();
+        let way = Way::Stop { patience };
+        let offers = self.choose(now, unit, sites, way);
+        if !unit.claim && total_cost(&offers) > self.loss_allowed(unit) {
+            self.reserve(now, unit, sites);
+            return;
+        }
         let mut victims = BTreeSet::new();
         for offer in &offers {
             victims.extend(offer.victims.iter().copied());
         }
         self.keep(unit, &offers, sites);
         for victim in victims {
-            self.reclaim_run(unit, victim);
+            self.reclaim_run(now, unit, victim, patience);
         }
     }
 
+    /// Core-seconds that may be lost for a unit beyond its guarantee.
+    fn loss_allowed(&self, unit: &Unit) -> f64 {
+        let job = self.jobs.get(&unit.first().job);
+        let step = job.and_then(|j| j.batch.step(unit.first()));
+        step.map_or(0.0, |step| {
+            #[allow(clippy::cast_precision_loss)]
+            let seconds = step.estimate_ms as f64 / 1000.0;
+            let tasks = f64::from(unit.count());
+            seconds * cores(&step.needs) * tasks * LOSS_SHARE
+        })
+    }
+
     /// Keeps room for a unit on the workers that are expected to have it
     /// first.
     pub(super) fn reserve(&self, now: Now, unit: &Unit, sites: &mut [Site]) {
@@ -64,10 +93,21 @@
         self.keep(unit, &offers, sites);
     }
 
-    fn reclaim_run(&mut self, unit: &Unit, victim: TaskId) {
-        let job = self.jobs.get(&victim.job);
-        let run = job.and_then(|j| j.runs.get(&victim));
-        if run.is_none_or(|r| r.stopping.is_some()) {
+    fn reclaim_run(
+        &mut self,
+        now: Now,
+        unit: &Unit,
+        victim: TaskId,
+        patience: f64,
+    ) {
+        let Some(job) = self.jobs.get(&victim.job) else {
+            return;
+        };
+        let Some(run) = job.runs.get(&victim) else {
+            return;
+        };
+        let soon = time_left(now, job, victim, run) <= patience;
+        if run.stopping.is_some() || soon {
             return;
         }
         let detail = format!("victim={victim} for={}", unit.first());
@@ -209,7 +249,7 @@
             room = room.plus(&needs);
             victims.push(task);
             cost = match way {
-                Way::Stop => cost + each,
+                Way::Stop { .. } => cost + each,
                 Way::Wait => each.max(cost),
             };
             let fit = wish.fitting(site, &room).min(count);
@@ -240,11 +280,18 @@
                 let run = job.runs.get(task)?;
                 let cost = match way {
                     Way::Wait => time_left(now, job, *task, run),
-                    Way::Stop if run.stopping.is_some() => 0.0,
-                    Way::Stop if job.batch.priority <= unit.priority => {
+                    Way::Stop { .. } if run.stopping.is_some() => 0.0,
+                    Way::Stop { patience }
+                        if time_left(now, job, *task, run) <= patience =>
+                    {
+                        0.0
+                    }
+                    Way::Stop { .. }
+                        if job.batch.priority <= unit.priority =>
+                    {
                         return None;
                     }
-                    Way::Stop => work_lost(now, job, *task),
+                    Way::Stop { .. } => work_lost(now, job, *task),
                 };
                 Some((cost, *task, *needs))
             })
@@ -302,9 +349,6 @@
             spent
         }
     };
-    #[allow(clippy::cast_precision_loss)]
-    let cores = step.needs.cpu_milli as f64 / 1000.0
-        + step.needs.accelerators as f64 * ACCELERATOR_CORES;
     let of_gang = |id: &TaskId| {
         *id == task
             || step.gang
@@ -314,5 +358,12 @@
     let runs = job.runs.iter().filter(|(id, _)| of_gang(id));
     let seconds: f64 = runs.map(|(_, run)| lost(run)).sum();
     // A started run always costs its start as well.
-    (seconds + 0.2) * cores
+    (seconds + 0.2) * cores(&step.needs)
+}
+
+/// What a task occupies, in cores.
+#[allow(clippy::cast_precision_loss)]
+fn cores(needs: &Resources) -> f64 {
+    needs.cpu_milli as f64 / 1000.0
+        + needs.accelerators as f64 * ACCELERATOR_CORES
 }
--- a/crates/node/src/fleet/catalog.rs
+++ b/crates/node/src/fleet/catalog.rs
@@ -51,24 +51,19 @@
 
 /// Follows the configuration for good.
 pub(super) fn follow(parts: &EntryParts, shared: &Shared, journal: &Journal) {
-    let mut revision = 0;
     let mut failing = false;
     loop {
         let read = read(parts, shared, journal);
         note_store(shared, journal, &read, &mut failing);
-        match read {
-            Ok(at) => revision = at.max(revision),
-            Err(_) => {
-                thread::sleep(STORE_AGAIN);
-                continue;
-            }
-        }
+        let Ok(revision) = read else {
+            thread::sleep(STORE_AGAIN);
+            continue;
+        };
         let watched = parts.kv.watch(parts.catalog_key, revision, WATCH);
         match watched {
             Ok(changes) => {
                 for change in changes.changes {
                     if let Change::Put(item) = change {
-                        revision = item.revision.max(revision);
                         offer(parts, shared, journal, &item.value);
                     }
                 }
@@ -86,11 +81,14 @@
     shared: &Shared,
     journal: &Journal,
 ) -> Result<u64, KvError> {
-    let Some(item) = parts.kv.get(parts.catalog_key, STORE_TIMEOUT)? else {
-        return Ok(0);
-    };
-    offer(parts, shared, journal, &item.value);
-    Ok(item.revision)
+    // A listing tells where a watch may begin; the revision of a key that
+    // has not changed for long is older than the store's history.
+    let listing = parts.kv.list(parts.catalog_key, STORE_TIMEOUT)?;
+    let key = parts.catalog_key;
+    if let Some(item) = listing.items.iter().find(|i| i.key == key) {
+        offer(parts, shared, journal, &item.value);
+    }
+    Ok(listing.revision)
 }
 
 fn offer(
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -170,7 +170,8 @@
     /// Takes the lease if it is free; otherwise waits for it for a while.
     fn candidate(&self) -> Result<Option<Term>, KvError> {
         let kv = &self.parts.kv;
-        if let Some(held) = kv.get(keys::COORDINATOR, STORE_TIMEOUT)? {
+        let held = kv.list(keys::COORDINATOR, STORE_TIMEOUT)?;
+        if !held.items.is_empty() {
             let after = held.revision;
             let seen = kv.watch(keys::COORDINATOR, after, CANDIDATE_WATCH);
             return match seen {
