--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -470,7 +470,14 @@
                     apart.push(*id);
                 }
                 let limit = standstill_limit(step.estimate_ms);
-                let still = now.steady > run.moved + limit;
+                // Members of a gang end together: one that has done its
+                // share stands still until the others have.
+                let moved = if step.gang {
+                    job.gang_moved(*id)
+                } else {
+                    run.moved
+                };
+                let still = now.steady > moved + limit;
                 let worker = self.workers.get(&run.agent);
                 let heard = worker.is_some_and(|w| w.is_heard(now.steady));
                 let done = job.task(*id).is_some_and(|t| t.done);
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -202,6 +202,15 @@
         self.runs.insert(task, run);
     }
 
+    /// When any member of a gang last showed progress.
+    pub(super) fn gang_moved(&self, id: TaskId) -> Duration {
+        self.tasks_of(id.occurrence, id.step)
+            .filter_map(|member| self.runs.get(&member))
+            .map(|run| run.moved)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// The most accelerators that one of its steps holds at once.
     pub(super) fn most_accelerators(&self) -> u64 {
         let of = |s: &Step| s.needs.accelerators * u64::from(s.count);
