--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -35,12 +35,14 @@
     if !scheduler.meet(now, agent, &upstream) {
         return;
     }
-    if report.token != scheduler.token {
-        return;
-    }
     let Some(snapshot) = report.snapshot else {
         return;
     };
+    if report.token != scheduler.token {
+        // It has not heard of this coordinator: the word was lost.
+        scheduler.agent_up(agent);
+        return;
+    }
     if snapshot.born_ms != upstream.incarnation.born_ms {
         return;
     }
--- a/crates/example/src/lib.rs
+++ b/crates/example/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(String::from_utf8(answer).unwrap().contains("\"order\":[\"p\"]"));
 //! ```
 
+pub mod pool;
 pub mod rounds;
 pub mod tasks;
 pub mod work;
--- a/crates/state/src/kv.rs
+++ b/crates/state/src/kv.rs
@@ -7,6 +7,8 @@
 
 use crate::store::LeaseId;
 
+pub mod memory;
+
 /// A value as it stands in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Item {
