--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 //! ```
 
 pub mod caller;
+pub mod platform;
 pub mod process;
 pub mod program;
 pub mod proxy;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -72,6 +72,35 @@
         })
     }
 
+    /// Starts a program that logs to its standard output; both streams go
+    /// to one file in `dir`.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started.
+    pub fn start_logged(
+        name: &str,
+        program: &Path,
+        args: &[&str],
+        dir: &Path,
+    ) -> io::Result<Self> {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(dir.join(format!("{name}.log")))?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            ended: false,
+        })
+    }
+
     /// The first line that the process prints.
     ///
     /// # Errors
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -9,5 +9,7 @@
 mod docs;
 mod failures;
 mod path;
+mod platform;
+mod platform_failures;
 mod promises;
 mod settings;
