Read settings again on SIGHUP; refuse at once while the store is away

It now reads its settings again and adopts the log level. While the store does not answer this entry, a submission is refused before anything is written, true and at once, with Retry-After 2 s.

--- a/crates/coordination/src/entry/track.rs
+++ b/crates/coordination/src/entry/track.rs
@@ -42,7 +42,8 @@
     pub(super) until: Duration,
 }
 
-/// A job.
+/// A job. Its flags are independent of each other.
+#[allow(clippy::struct_excessive_bools)]
 pub(super) struct Track {
     pub(super) workspace: String,
     /// Until the workspace is known: the one that the caller may see.
--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -35,7 +35,7 @@
 /// How far ahead of the upstream's clock a grant lets its runs go on. It
 /// bridges a coordinator's loss, and delays the second try of what ran on a
 /// lost worker.
-const HOLD: Duration = Duration::from_millis(9000);
+const HOLD: Duration = Duration::from_secs(9);
 
 /// How much slower than true time an upstream's clock may be.
 const CLOCK_DRIFT: f64 = 1.02;
@@ -150,7 +150,7 @@
             let run = Run {
                 agent: placement.agent.clone(),
                 upstream: placement.upstream,
-                run: progress.run,
+                number: progress.run,
                 // The first snapshot under the own token decides.
                 phase: Phase::Ordered { settled_ms: 0 },
                 since: now.steady,
@@ -163,7 +163,7 @@
             };
             let needs = job.batch.step(task).map(|s| s.needs);
             job.runs.insert(task, run);
-            let over_at = self.over_at(self.began);
+            let over_at = over_at(self.began);
             let worker = self.workers.entry(placement.agent).or_default();
             worker.over_at = worker.over_at.max(over_at);
             worker.occupied.insert(task, needs.unwrap_or_default());
@@ -242,10 +242,6 @@
         self.jobs.len()
     }
 
-    fn over_at(&self, granted: Duration) -> Duration {
-        granted + HOLD.mul_f64(CLOCK_DRIFT) + OVER_MARGIN
-    }
-
     fn send(&mut self, agent: &str, message: ToAgent) {
         let agent = agent.to_owned();
         self.out.push(Action::Send { agent, message });
@@ -273,7 +269,7 @@
         self.dirty.insert(id.job);
         let detail = format!(
             "task={id} run={} agent={} percent={} why={why}",
-            run.run, run.agent, run.percent
+            run.number, run.agent, run.percent
         );
         self.note(Code::PartEnded, id.job, &detail);
         self.share_gang_checkpoint(id, &run.checkpoint);
@@ -381,7 +377,7 @@
             run.stopping = Some(Duration::ZERO);
             let detail = format!(
                 "task={id} run={} agent={} percent={} why={why}",
-                run.run, run.agent, run.percent
+                run.number, run.agent, run.percent
             );
             self.note(Code::PartStopped, id.job, &detail);
         }
@@ -419,7 +415,7 @@
                     upstream: run.upstream.clone(),
                     token: self.token,
                     task: *task,
-                    run: run.run,
+                    run: run.number,
                 };
                 orders.push((run.agent.clone(), message));
             }
@@ -583,3 +579,8 @@
     let tasks = progress.tasks.values().flatten().flatten();
     tasks.into_iter().any(|t| t.placement.is_some())
 }
+
+/// When everything that was granted at `granted` is surely over.
+fn over_at(granted: Duration) -> Duration {
+    granted + HOLD.mul_f64(CLOCK_DRIFT) + OVER_MARGIN
+}
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -230,7 +230,7 @@
         run.moved = now.steady;
         let start = Start {
             task: id,
-            run: run.run,
+            run: run.number,
             payload,
             deadline_ms,
             token,
@@ -240,7 +240,7 @@
         let upstream = run.upstream.clone();
         let detail = format!(
             "task={id} run={} agent={agent} upstream={} deadline={deadline_ms}",
-            run.run, upstream.id
+            run.number, upstream.id
         );
         self.note(Code::PartStarted, id.job, &detail);
         self.send(&agent, ToAgent::Start { upstream, start });
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -33,7 +33,7 @@
 pub(super) struct Run {
     pub(super) agent: String,
     pub(super) upstream: Incarnation,
-    pub(super) run: u32,
+    pub(super) number: u32,
     pub(super) phase: Phase,
     /// When it was placed.
     pub(super) since: Duration,
@@ -189,7 +189,7 @@
         let run = Run {
             agent: to.agent,
             upstream: to.upstream,
-            run,
+            number: run,
             phase: Phase::Committing { commit: None },
             since: now,
             ordered: None,
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt::Write,
     time::Duration,
 };
 
@@ -235,7 +236,7 @@
             let checkpoint =
                 checkpoint.map(|t| t.checkpoint.clone()).unwrap_or_default();
             worker.occupied.insert(task, needs);
-            detail.push_str(&format!(" {task}/{run}@{agent}"));
+            let _ = write!(detail, " {task}/{run}@{agent}");
             let to = Placement {
                 agent,
                 upstream: life,
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -41,7 +41,7 @@
 
 /// How long a claim waits for runs that end by themselves. It leaves time
 /// for a stop and a start within the bound on claims.
-const CLAIM_PATIENCE: Duration = Duration::from_millis(1000);
+const CLAIM_PATIENCE: Duration = Duration::from_secs(1);
 
 /// How much work may be lost for work of priority 0 beyond its guarantee,
 /// as a share of that work.
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -12,6 +12,7 @@
     HOLD, Now, Scheduler,
     job::Phase,
     message::{Grant, Report, ToAgent},
+    over_at,
     worker::Verdict,
 };
 
@@ -175,7 +176,7 @@
         self.dirty.insert(id.job);
         let current = self.jobs.get_mut(&id.job).and_then(|job| {
             let run = job.runs.get_mut(&id)?;
-            (run.agent == agent && run.run == ended.run).then_some(run)
+            (run.agent == agent && run.number == ended.run).then_some(run)
         });
         let is_current = current.is_some();
         if let Some(run) = current
@@ -236,7 +237,7 @@
             return;
         };
         if run.agent != agent
-            || run.run != running.run
+            || run.number != running.run
             || run.upstream != *life
         {
             return;
@@ -278,7 +279,7 @@
                     Phase::Running { seen_ms } => seen_ms,
                 };
                 snapshot.clock_ms > decided
-                    && !listed.contains(&(*task, run.run))
+                    && !listed.contains(&(*task, run.number))
             })
             .collect();
         for task in absent {
@@ -294,8 +295,8 @@
         for running in &snapshot.running {
             let job = self.jobs.get(&running.task.job);
             let run = job.and_then(|j| j.runs.get(&running.task));
-            let ours =
-                run.is_some_and(|r| r.agent == agent && r.run == running.run);
+            let ours = run
+                .is_some_and(|r| r.agent == agent && r.number == running.run);
             if ours {
                 continue;
             }
@@ -327,7 +328,7 @@
 
     /// Lets what runs on a worker go on.
     fn grant(&mut self, now: Now, agent: &str, clock_ms: u64) {
-        let over_at = self.over_at(now.steady);
+        let over_at = over_at(now.steady);
         let token = self.token;
         let Some(worker) = self.workers.get_mut(agent) else {
             return;
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -26,7 +26,7 @@
 
 enum Mail {
     ToAgent(String, ToAgent),
-    Report(String, Report),
+    Report(String, Box<Report>),
     Committed(u64),
 }
 
@@ -251,7 +251,7 @@
             }
             Mail::Report(agent, report) if token == self.token => {
                 let now = self.now();
-                self.scheduler.report(now, &agent, report);
+                self.scheduler.report(now, &agent, *report);
                 self.send_actions();
             }
             Mail::ToAgent(agent, message) => self.order(&agent, message),
@@ -285,7 +285,10 @@
                     }],
                     ..Report::default()
                 };
-                self.post(STEP_MS, Mail::Report(name.to_owned(), report));
+                self.post(
+                    STEP_MS,
+                    Mail::Report(name.to_owned(), Box::new(report)),
+                );
             }
             ToAgent::Stop {
                 upstream,
@@ -358,7 +361,7 @@
                 ..Report::default()
             };
             if self.random(1000) >= self.faults.lost_reports {
-                self.post(STEP_MS, Mail::Report(name, report));
+                self.post(STEP_MS, Mail::Report(name, Box::new(report)));
             }
         }
     }
@@ -426,6 +429,6 @@
 pub fn gang(mut batch: Batch) -> Batch {
     let count = batch.steps[0].count;
     batch.steps[0].gang = true;
-    batch.payload.push_str(&format!(" gang={count}"));
+    batch.payload = format!("{} gang={count}", batch.payload);
     batch
 }
--- a/crates/core/commands/role.rs
+++ b/crates/core/commands/role.rs
@@ -34,8 +34,8 @@
     settings: &str,
     set: &[(String, String)],
 ) -> Result<Exit, CommandError> {
-    if let Some(deployment) = deployment(settings)? {
-        return platform::entry(deployment);
+    if let Some(settings) = deployment(settings)? {
+        return platform::entry(settings);
     }
     let config = config(settings, set)?;
     let signals = signals()?;
@@ -54,8 +54,8 @@
     settings: &str,
     set: &[(String, String)],
 ) -> Result<Exit, CommandError> {
-    if let Some(deployment) = deployment(settings)? {
-        return platform::agent(deployment);
+    if let Some(settings) = deployment(settings)? {
+        return platform::agent(settings);
     }
     let config = config(settings, set)?;
     let signals = signals()?;
@@ -71,21 +71,26 @@
 }
 
 /// The settings, if they are for a platform whose store holds everything.
-fn deployment(settings: &str) -> Result<Option<Deployment>, CommandError> {
+fn deployment(
+    settings: &str,
+) -> Result<Option<platform::Settings>, CommandError> {
     let text = read_file(settings)?;
     if !deployment::is_deployment(&text) {
         return Ok(None);
     }
     let deployment = Deployment::parse(&text, settings).map_err(failed)?;
-    logging::start(&deployment.log_level, logging::Out::Stdout)?;
-    Ok(Some(deployment))
+    platform::start_logging(&deployment.log_level)?;
+    Ok(Some(platform::Settings {
+        deployment,
+        file: settings.to_owned(),
+    }))
 }
 
-pub(super) fn signals() -> Result<Signals, CommandError> {
+fn signals() -> Result<Signals, CommandError> {
     Signals::new([SIGTERM, SIGINT]).map_err(|e: Error| failed(e))
 }
 
-pub(super) fn on_signal(
+fn on_signal(
     mut signals: Signals,
     drain: impl Fn() + Send + 'static,
 ) -> Result<(), CommandError> {
--- a/crates/core/logging.rs
+++ b/crates/core/logging.rs
@@ -22,11 +22,7 @@
 ///
 /// [`CommandError::Usage`] if there is no such level.
 pub fn start(level: &str, out: Out) -> Result<(), CommandError> {
-    let filter = LevelFilter::from_str(level).map_err(|_| {
-        CommandError::Usage(format!(
-            "log level {level}: write off, error, warn, info or debug"
-        ))
-    })?;
+    let filter = parse(level)?;
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_target_level(LevelFilter::Off)
@@ -43,3 +39,21 @@
     };
     Ok(())
 }
+
+/// Logs no more than `level` from now on.
+///
+/// # Errors
+///
+/// [`CommandError::Usage`] if there is no such level.
+pub fn limit(level: &str) -> Result<(), CommandError> {
+    log::set_max_level(parse(level)?);
+    Ok(())
+}
+
+fn parse(level: &str) -> Result<LevelFilter, CommandError> {
+    LevelFilter::from_str(level).map_err(|_| {
+        CommandError::Usage(format!(
+            "log level {level}: write off, error, warn, info or debug"
+        ))
+    })
+}
--- a/crates/example/src/pool.rs
+++ b/crates/example/src/pool.rs
@@ -68,7 +68,7 @@
 
 #[derive(Clone, Debug)]
 struct Run {
-    run: u32,
+    number: u32,
     work: Work,
     since_ms: u64,
     /// Work that is done, in milliseconds.
@@ -132,11 +132,11 @@
         };
         self.number += 1;
         let barred = self.barred.entry(task).or_insert(0);
-        *barred = (*barred).max(run.run);
+        *barred = (*barred).max(run.number);
         self.ended.push(Ended {
             number: self.number,
             task,
-            run: run.run,
+            run: run.number,
             end,
             checkpoint: checkpoint(&run),
         });
@@ -186,7 +186,7 @@
         if node
             .runs
             .get(&start.task)
-            .is_some_and(|r| r.run == start.run)
+            .is_some_and(|r| r.number == start.run)
         {
             return Started::Running { clock_ms };
         }
@@ -206,7 +206,7 @@
         let lease = start.deadline_ms.min(clock_ms + HOLD_MAX_MS);
         node.lease_ms = node.lease_ms.max(lease);
         let run = Run {
-            run: start.run,
+            number: start.run,
             work,
             since_ms: now_ms,
             done_ms: start.checkpoint.parse().unwrap_or(0),
@@ -252,7 +252,7 @@
         }
         node.token = token;
         match node.runs.get_mut(&task) {
-            Some(there) if there.run == run => {
+            Some(there) if there.number == run => {
                 there.stops_at_ms.get_or_insert(now_ms + STOP_MS);
             }
             _ => {
@@ -289,7 +289,7 @@
         node.ended.retain(|e| e.number > acknowledged);
         let running = node.runs.iter().map(|(task, run)| Running {
             task: *task,
-            run: run.run,
+            run: run.number,
             checkpoint: checkpoint(run),
             percent: percent(run),
         });
@@ -313,7 +313,7 @@
             id.job == task.job
                 && id.occurrence == task.occurrence
                 && id.step == task.step
-                && r.run == run
+                && r.number == run
         };
         let all = self.nodes.values().flat_map(|n| n.runs.iter());
         let there = all.filter(|(id, r)| same((id, r))).count();
@@ -325,7 +325,7 @@
         for (agent, node) in &self.nodes {
             for (task, run) in &node.runs {
                 let whole = run.work.gang == 0
-                    || self.members(*task, run.run) >= run.work.gang;
+                    || self.members(*task, run.number) >= run.work.gang;
                 if whole && !run.work.hangs {
                     works.push((agent.clone(), *task));
                 }
@@ -346,7 +346,7 @@
             for (task, run) in &node.runs {
                 let worked = run.done_ms >= run.work.ms;
                 let whole = run.work.gang == 0
-                    || self.members(*task, run.run) >= run.work.gang;
+                    || self.members(*task, run.number) >= run.work.gang;
                 let waited = now_ms.saturating_sub(run.since_ms);
                 let end = if clock > node.lease_ms {
                     Some(End::Lapsed)
@@ -386,7 +386,7 @@
             for (task, run) in
                 node.runs.iter().filter(|(_, r)| r.work.gang > 0)
             {
-                let members = self.members(*task, run.run);
+                let members = self.members(*task, run.number);
                 let begun = run.done_ms > 0;
                 if members < run.work.gang && begun {
                     ends.push((agent.clone(), *task, End::Broken));
--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -56,7 +56,7 @@
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Time between two heartbeats to the coordinator.
-const BEAT: Duration = Duration::from_millis(1000);
+const BEAT: Duration = Duration::from_secs(1);
 
 /// A running agent.
 pub struct FleetAgent {
@@ -161,6 +161,12 @@
         })
     }
 
+    /// Where this process notes what happens.
+    #[must_use]
+    pub fn journal(&self) -> Journal {
+        self.journal.clone()
+    }
+
     /// What stops the agent from another thread.
     pub fn drainer(&self) -> impl Fn() + Send + use<> {
         let draining = self.draining.clone();
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -46,6 +46,9 @@
 /// When a caller may come again after a refusal, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
+/// The same while the store is away, in seconds: outages last several.
+const OUTAGE_RETRY_AFTER_S: u32 = 2;
+
 type CallersOf = dyn Callers<Call = Call, Answer = Answer>;
 
 /// Answers callers; clones share everything.
@@ -194,6 +197,12 @@
         if let Some(why) = batch.problem() {
             return Tell::Malformed(why);
         }
+        if !self.catalog.store_up.load(Ordering::Relaxed) {
+            // Nothing was written, so this is true, and known at once.
+            return Tell::NotRun {
+                retry_after_s: OUTAGE_RETRY_AFTER_S,
+            };
+        }
         let retry_after_s = RETRY_AFTER_S;
         match stored::create(&*self.kv, &batch, patience) {
             Written::Stands => Tell::Accepted,
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -114,6 +114,12 @@
         })
     }
 
+    /// Where this process notes what happens.
+    #[must_use]
+    pub fn journal(&self) -> Journal {
+        self.journal.clone()
+    }
+
     /// What begins a graceful shutdown from another thread.
     pub fn drainer(&self) -> impl Fn() + Send + use<> {
         let draining = self.draining.clone();
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -32,7 +32,7 @@
 };
 
 /// How long the lease runs.
-const LEASE: Duration = Duration::from_millis(3000);
+const LEASE: Duration = Duration::from_secs(3);
 
 /// Time between two renewals.
 const RENEW: Duration = Duration::from_millis(800);
@@ -44,13 +44,13 @@
 const CANDIDATE_WATCH: Duration = Duration::from_millis(1500);
 
 /// How long the coordinator waits for jobs before it asks again.
-const INPUTS_WATCH: Duration = Duration::from_millis(2000);
+const INPUTS_WATCH: Duration = Duration::from_secs(2);
 
 /// Time between two ticks without any input.
 const TICK: Duration = Duration::from_millis(50);
 
 /// Time between two heartbeats on a stream.
-const BEAT: Duration = Duration::from_millis(1000);
+const BEAT: Duration = Duration::from_secs(1);
 
 /// Time between two dials of an agent that was not reached.
 const DIAL_AGAIN: Duration = Duration::from_millis(700);
--- a/crates/standin/src/platform/client.rs
+++ b/crates/standin/src/platform/client.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 /// How long a caller waits for an answer.
-const PATIENCE: Duration = Duration::from_millis(3000);
+const PATIENCE: Duration = Duration::from_secs(3);
 
 /// An answer; status 0 is none.
 #[derive(Clone, Debug)]
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -151,6 +151,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Says that its settings file has changed.
+    pub fn tell_settings_changed(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Waits until it has ended; its exit code.
     ///
     /// # Panics
--- a/crates/state/src/batch.rs
+++ b/crates/state/src/batch.rs
@@ -130,7 +130,8 @@
     }
 }
 
-/// Tasks that are alike.
+/// Tasks that are alike. Its flags are independent of each other.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Step {
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -62,6 +62,7 @@
     ProcessStarted 1001 Info "a process listens and serves",
     ProcessDraining 1002 Info "a process takes no new work and finishes what it has",
     ProcessStopped 1003 Info "a process has finished and ends",
+    ProcessReloaded 1004 Info "a process has read its settings again",
     PeerUp 1101 Info "a stream to another process is open and authenticated",
     PeerDown 1102 Warn "a stream to another process ended or fell silent",
     PeerRefused 1103 Warn "another process failed to authenticate",
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -39,7 +39,8 @@
         _config: &Config,
         _timeout: NextTimeout,
     ) -> Result<ResolvedSocketAddrs, Error> {
-        let authority = uri.authority().map(|a| a.as_str());
+        let authority =
+            uri.authority().map(ureq::http::uri::Authority::as_str);
         let address: Option<SocketAddr> =
             authority.and_then(|a| a.parse().ok());
         let mut found = self.empty();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -207,3 +207,19 @@
     }
     site.assert_sound();
 }
+
+#[test]
+fn a_process_whose_settings_changed_reads_them_and_goes_on() {
+    let mut site = site(1, 1);
+    let entry = site.entry(0);
+    for member in site.entries.iter().chain(&site.agents) {
+        member.process.tell_settings_changed();
+    }
+    thread::sleep(Duration::from_millis(500));
+    assert!(site.entries[0].process.is_running());
+    assert!(site.agents[0].process.is_running());
+    let log = std::fs::read_to_string(site.dir.join("agent-0.log"));
+    assert!(log.expect("a log").contains("ProcessReloaded"));
+    let _ = site.client.submit(entry, 1, &job(1, 1, 100, false));
+    site.wait_state(0, 1, "done", SOON);
+}
