Make room for a claim on one rack before spreading it over several

Cause: a claim was allowed to spread after 0.7 s, before the second that it waits for runs to end was over, and spread work takes three times as long. It now waits up to 2 s for its rack, and for runs that end by themselves at most two fifths of its slack.

--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -231,6 +231,13 @@
         begin + u64::try_from(allowed.as_millis()).unwrap_or(0)
     }
 
+    /// How long the job may wait in all and still end when it is due.
+    pub(super) fn slack(&self) -> Duration {
+        let chain = Duration::from_millis(self.chain_ms());
+        let more = (self.batch.stretch - 1.0).clamp(0.0, 1e6);
+        chain.mul_f64(more) + self.batch.target
+    }
+
     /// The longest chain of estimates through the steps.
     fn chain_ms(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::new();
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -27,8 +27,9 @@
 /// The most units that have room kept free for them at once.
 const RESERVATIONS_MAX: usize = 2;
 
-/// The longest that work of priority 0 waits for a better place.
-const URGENT_PICKY: Duration = Duration::from_millis(700);
+/// The longest that a claim waits for one rack before it is spread over
+/// several; it leaves time to start within the bound on claims.
+const CLAIM_PICKY: Duration = Duration::from_secs(2);
 
 /// Tasks of one step that wait to be placed.
 #[derive(Clone, Debug)]
@@ -41,6 +42,9 @@
     due_ms: u64,
     /// Whether its job is within its workspace's guarantee.
     pub(super) claim: bool,
+    /// How long it may wait and still end when its caller wants it, if its
+    /// estimate is right.
+    pub(super) slack: Duration,
 }
 
 impl Unit {
@@ -272,8 +276,8 @@
     sites: &[Site],
 ) -> bool {
     let estimate = Duration::from_millis(wish.step.estimate_ms);
-    let patience = if unit.priority == 0 {
-        estimate.min(URGENT_PICKY)
+    let patience = if unit.claim {
+        estimate.min(CLAIM_PICKY)
     } else {
         estimate
     };
@@ -316,6 +320,7 @@
             ready,
             due_ms: job.due_ms(occurrence),
             claim,
+            slack: job.slack(),
         });
     }
 }
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -39,10 +39,13 @@
     Wait,
 }
 
-/// How long a claim waits for runs that end by themselves. It leaves time
-/// for a stop and a start within the bound on claims.
+/// The longest that a claim waits for runs that end by themselves. It leaves
+/// time for a stop and a start within the bound on claims.
 const CLAIM_PATIENCE: Duration = Duration::from_secs(1);
 
+/// The share of its slack that a claim waits for them at most.
+const PATIENCE_SHARE: f64 = 0.4;
+
 /// How much work may be lost for work of priority 0 beyond its guarantee,
 /// as a share of that work.
 const LOSS_SHARE: f64 = 0.3;
@@ -57,7 +60,8 @@
         sites: &mut [Site],
     ) {
         let waited = now.steady.saturating_sub(unit.ready);
-        let patience = CLAIM_PATIENCE.saturating_sub(waited).as_secs_f64();
+        let patience = CLAIM_PATIENCE.min(unit.slack.mul_f64(PATIENCE_SHARE));
+        let patience = patience.saturating_sub(waited).as_secs_f64();
         let way = Way::Stop { patience };
         let offers = self.choose(now, unit, sites, way);
         if !unit.claim && total_cost(&offers) > self.loss_allowed(unit) {
