--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -54,6 +54,9 @@
 /// up on a gang after three seconds at the least.
 const GANG_SEEN: Duration = Duration::from_millis(2200);
 
+/// How long a run may show no progress, besides a share of its estimate.
+const STANDSTILL: Duration = Duration::from_millis(1700);
+
 /// How long a job's record is kept after its end.
 const KEPT_MS: u64 = 300_000;
 
@@ -450,6 +453,7 @@
     fn watch_runs(&mut self, now: Now) {
         let mut apart = Vec::new();
         let mut stuck = Vec::new();
+        let mut leaving = Vec::new();
         for job in self.jobs.values() {
             for (id, run) in &job.runs {
                 if run.stopping.is_some() {
@@ -462,6 +466,9 @@
                     run.ordered.is_some_and(|at| now.steady > at + limit)
                 };
                 let seen = matches!(run.phase, Phase::Running { .. });
+                if seen && self.ends_too_late(now, job, *id, run) {
+                    leaving.push(*id);
+                }
                 if step.gang && !seen && late(GANG_SEEN) {
                     apart.push(*id);
                 }
@@ -482,6 +489,10 @@
                 }
             }
         }
+        for id in leaving {
+            self.stop(id, "its worker leaves before it can end");
+            self.stop_gang_of(id, "a member's worker leaves");
+        }
         for id in apart {
             self.stop_gang_of(id, "the gang did not come together");
         }
@@ -492,6 +503,22 @@
         }
     }
 
+    /// Whether a run's worker leaves before the run is expected to end: then
+    /// the sooner it goes on elsewhere, the better.
+    fn ends_too_late(
+        &self,
+        now: Now,
+        job: &Job,
+        id: TaskId,
+        run: &Run,
+    ) -> bool {
+        let worker = self.workers.get(&run.agent);
+        let left = worker.and_then(|w| w.left(now.steady));
+        left.is_some_and(|left| {
+            reclaim::time_left(now, job, id, run) > left.as_secs_f64()
+        })
+    }
+
     /// Takes note that a run went wrong on a worker.
     fn blame(&mut self, now: Now, id: TaskId, agent: &str, how: Verdict) {
         if let Some(job) = self.jobs.get_mut(&id.job)
@@ -572,7 +599,7 @@
 /// How long a run may show no progress: a hundredth of its work takes
 /// longer the longer it is, on a slow worker more so.
 fn standstill_limit(estimate_ms: u64) -> Duration {
-    Duration::from_millis(2500 + estimate_ms / 5)
+    STANDSTILL + Duration::from_millis(estimate_ms) / 5
 }
 
 fn holds_runs(progress: &Progress) -> bool {
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -323,7 +323,7 @@
 }
 
 /// Seconds until a run is expected to end.
-fn time_left(now: Now, job: &Job, task: TaskId, run: &Run) -> f64 {
+pub(super) fn time_left(now: Now, job: &Job, task: TaskId, run: &Run) -> f64 {
     let estimate = job.batch.step(task).map_or(0, |s| s.estimate_ms);
     let done = f64::from(run.percent) / 100.0;
     let since = run.ordered.unwrap_or(run.since);
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -70,6 +70,11 @@
             worker.seen = 0;
             worker.uncommitted.clear();
             worker.strangers.clear();
+            worker.leaves_from = None;
+        }
+        let before = worker.upstream.as_ref().map(|u| u.sequence);
+        if upstream.draining && before != Some(upstream.sequence) {
+            worker.leaves_from = Some(now.steady);
         }
         worker.upstream = Some(upstream.clone());
         if newer {
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -51,6 +51,8 @@
     pub(super) seen: u64,
     /// Ends that were taken in and do not stand in the store yet.
     pub(super) uncommitted: BTreeMap<u64, BatchId>,
+    /// When it was heard to leave, if it does.
+    pub(super) leaves_from: Option<Duration>,
     /// Recent endings: when, of which job, how.
     endings: VecDeque<(Duration, BatchId, Verdict)>,
     /// No work is placed there until then.
@@ -68,6 +70,13 @@
         self.clock.is_some_and(|(_, at)| now < at + HEARD_FOR)
     }
 
+    /// The time that is surely left to it, if it leaves and says so.
+    pub(super) fn left(&self, now: Duration) -> Option<Duration> {
+        let upstream = self.upstream.as_ref().filter(|u| u.draining)?;
+        let from = self.leaves_from?;
+        Some((from + upstream.remaining?).saturating_sub(now))
+    }
+
     /// Its clock now, as far as known.
     pub(super) fn clock_now(&self, now: Duration) -> Option<u64> {
         let (clock, at) = self.clock?;
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -176,14 +176,7 @@
     sim.submit(job(1, 1, 1, 8, 20_000));
     assert!(sim.run_until(1000, |s| count(s, "start") == 1));
     sim.run(500);
-    let agent = sim
-        .pool
-        .trace
-        .iter()
-        .find(|l| l.contains("start"))
-        .and_then(|l| l.rsplit(' ').next())
-        .expect("an agent")
-        .to_owned();
+    let agent = sim.agent_of_last_start();
     if let Some(node) = sim.pool.nodes.get_mut(&agent) {
         node.reachable = false;
     }
@@ -217,6 +210,53 @@
     assert_sound(&sim, "reborn");
 }
 
+#[test]
+fn a_crashed_upstreams_task_starts_elsewhere_at_once() {
+    let mut sim = Sim::new(2, 1);
+    sim.submit(job(1, 1, 1, 8, 3000));
+    assert!(sim.run_until(1000, |s| count(s, "start") == 1));
+    sim.run(300);
+    let agent = sim.agent_of_last_start();
+    sim.crash(&agent);
+    assert!(
+        sim.run_until(500, |s| count(s, "start") == 2),
+        "{:?}",
+        sim.pool.trace
+    );
+    assert!(sim.run_until(5000, Sim::all_ended));
+}
+
+#[test]
+fn work_that_cannot_end_before_its_worker_leaves_is_moved() {
+    struct Case {
+        work_ms: u64,
+        moved: bool,
+    }
+    let cases = [
+        Case {
+            work_ms: 1000,
+            moved: false,
+        },
+        Case {
+            work_ms: 20_000,
+            moved: true,
+        },
+    ];
+    for case in cases {
+        let mut sim = Sim::new(2, 1);
+        let mut batch = job(1, 1, 1, 4, case.work_ms);
+        batch.steps[0].checkpoints = true;
+        sim.submit(batch);
+        assert!(sim.run_until(1000, |s| count(s, "start") == 1));
+        let agent = sim.agent_of_last_start();
+        sim.drain(&agent, 4000);
+        sim.run(3000);
+        let moved = count(&sim, "stopped") == 1 && count(&sim, "start") == 2;
+        assert_eq!(moved, case.moved, "{:?}", sim.pool.trace);
+        assert_sound(&sim, "leaving");
+    }
+}
+
 #[test]
 fn a_cancelled_job_stops_wherever_it_is() {
     let mut sim = Sim::new(3, 1);
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -161,6 +161,34 @@
             .map_or(BatchState::Queued, |p| p.state)
     }
 
+    /// The agent whose upstream began a run last.
+    pub fn agent_of_last_start(&self) -> String {
+        let starts = self.pool.trace.iter().rev();
+        let mut starts = starts.filter(|l| l.contains(" start "));
+        let agent = starts.next().and_then(|l| l.rsplit(' ').next());
+        agent.expect("a start").to_owned()
+    }
+
+    /// An upstream ends without a word, and its agent sees that.
+    pub fn crash(&mut self, agent: &str) {
+        let node = self.pool.nodes.remove(agent).expect("a node");
+        let report = Report {
+            gone: Some(node.upstream.incarnation),
+            ..Report::default()
+        };
+        let now = self.now();
+        self.scheduler.report(now, agent, report);
+        self.send_actions();
+    }
+
+    /// An upstream says that it leaves, and when at the earliest.
+    pub fn drain(&mut self, agent: &str, left_ms: u64) {
+        let node = self.pool.nodes.get_mut(agent).expect("a node");
+        node.upstream.draining = true;
+        node.upstream.remaining = Some(Duration::from_millis(left_ms));
+        node.upstream.sequence += 1;
+    }
+
     pub fn all_ended(&self) -> bool {
         self.batches.keys().all(|id| self.state(*id).is_final())
     }
--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -52,6 +52,11 @@
 /// Time before the upstream is asked again after it did not answer.
 const HOLD_AGAIN: Duration = Duration::from_millis(200);
 
+/// How long an upstream whose address refuses connections counts as one
+/// that may come back. Both stand on one VM, so a refusal comes from its
+/// system and means that nothing listens.
+const GONE_AFTER: Duration = Duration::from_millis(400);
+
 /// Time between two looks for something to do.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -437,6 +442,7 @@
 /// Extends what runs as far as it was granted, and reports what is there.
 fn hold_for_good(beside: &Beside, net: &Net) {
     let mut busy = false;
+    let mut refused_since = None;
     loop {
         let (upstream, grant) = {
             let state = beside.lock();
@@ -461,12 +467,20 @@
         };
         match beside.parts.runner.hold(&upstream, hold) {
             Ok(snapshot) => {
+                refused_since = None;
                 busy = !snapshot.running.is_empty();
                 let last = snapshot.ended.last().map_or(0, |e| e.number);
                 send_snapshot(beside, net, &upstream, grant.token, snapshot);
                 await_ack(beside, last, &grant);
             }
             Err(e) => {
+                let now = beside.parts.clock.now();
+                let refused = matches!(e, RunnerError::NotThere(_));
+                let since = refused_since.filter(|_| refused);
+                if since.is_some_and(|at| now >= at + GONE_AFTER) {
+                    crashed(beside, &upstream.incarnation);
+                }
+                refused_since = refused.then(|| since.unwrap_or(now));
                 failed(beside, net, &e);
                 thread::sleep(HOLD_AGAIN);
             }
@@ -474,6 +488,21 @@
     }
 }
 
+/// The upstream has ended without a word: what ran there is over.
+fn crashed(beside: &Beside, life: &Incarnation) {
+    let mut state = beside.lock();
+    if state
+        .upstream
+        .as_ref()
+        .is_some_and(|u| u.incarnation == *life)
+    {
+        let detail = format!("upstream={} crashed", life.id);
+        beside.journal.say(Code::UpstreamGone, detail);
+        state.upstream = None;
+        state.gone = Some(life.clone());
+    }
+}
+
 fn failed(beside: &Beside, net: &Net, e: &RunnerError) {
     beside.journal.metrics.call("hold", "failed");
     log::debug!("the upstream's list was not read: {e}");
--- a/crates/state/src/runner.rs
+++ b/crates/state/src/runner.rs
@@ -170,6 +170,8 @@
 /// Why a call of an upstream brought nothing.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum RunnerError {
+    /// nothing listens at its address: {0}
+    NotThere(String),
     /// it did not answer: {0}
     Unanswered(String),
     /// it answered what has no meaning: {0}
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -75,6 +75,8 @@
 /// Why a call brought no whole answer.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum CallError {
+    /// nothing listens there: {0}
+    Refused(String),
     /// no connection: {0}
     NotSent(String),
     /// no whole answer: {0}
@@ -104,7 +106,8 @@
     ///
     /// # Errors
     ///
-    /// [`CallError::NotSent`] if nothing can have reached the server.
+    /// [`CallError::NotSent`] or [`CallError::Refused`] if nothing can have
+    /// reached the server.
     pub fn call(
         &self,
         method: &str,
@@ -142,7 +145,7 @@
                 Error::ConnectionFailed | Error::HostNotFound => {
                     CallError::NotSent(text)
                 }
-                _ if refused => CallError::NotSent(text),
+                _ if refused => CallError::Refused(text),
                 _ => CallError::NoAnswer(text),
             }
         })
