Wait for runs that are dear to stop; shorter lease; come back in 3 s

Changes: a claim leaves a run that loses more than three tenths of the claim's work up to 1.6 s to end; work without checkpoints may hope for a longer stay; the lease runs 1.8 s; Retry-After in an outage is 3 s.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -54,6 +54,9 @@
 /// up on a gang after three seconds at the least.
 const GANG_SEEN: Duration = Duration::from_millis(2200);
 
+/// How much longer than it said a leaving worker may stay.
+const HOPED_STAY: Duration = Duration::from_secs(2);
+
 /// How long a run may show no progress, besides a share of its estimate.
 const STANDSTILL: Duration = Duration::from_millis(1700);
 
@@ -513,10 +516,14 @@
         run: &Run,
     ) -> bool {
         let worker = self.workers.get(&run.agent);
-        let left = worker.and_then(|w| w.left(now.steady));
-        left.is_some_and(|left| {
-            reclaim::time_left(now, job, id, run) > left.as_secs_f64()
-        })
+        let Some(left) = worker.and_then(|w| w.left(now.steady)) else {
+            return false;
+        };
+        let keeps = job.batch.step(id).is_some_and(|s| s.checkpoints);
+        // A worker often stays longer than it said, and what cannot be
+        // saved is lost for certain by a stop.
+        let hope = if keeps { left } else { left * 3 + HOPED_STAY };
+        reclaim::time_left(now, job, id, run) > hope.as_secs_f64()
     }
 
     /// Takes note that a run went wrong on a worker.
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -32,16 +32,33 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Way {
     /// Runs of lower priority are stopped; the cost is the work lost. What
-    /// is expected to end within `patience` seconds costs nothing and is
-    /// left to end.
-    Stop { patience: f64 },
+    /// is expected to end soon costs nothing and is left to end.
+    Stop(Patience),
     /// Nothing is stopped; the cost is the time until runs end.
     Wait,
 }
 
+/// What work of priority 0 waits for rather than stop it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Patience {
+    /// Any run is left to end within this many seconds.
+    short_s: f64,
+    /// A run that loses more than `dear` is left to end within this many.
+    long_s: f64,
+    /// Core-seconds.
+    dear: f64,
+}
+
+impl Patience {
+    /// Whether a run is left to end.
+    fn leaves(&self, left_s: f64, lost: f64) -> bool {
+        left_s <= self.short_s || lost > self.dear && left_s <= self.long_s
+    }
+}
+
 /// The longest that a claim waits for runs that end by themselves. It leaves
 /// time for a stop and a start within the bound on claims.
-const CLAIM_PATIENCE: Duration = Duration::from_secs(1);
+const CLAIM_PATIENCE: Duration = Duration::from_millis(1600);
 
 /// The share of its slack that a claim waits for them at most.
 const PATIENCE_SHARE: f64 = 0.4;
@@ -60,9 +77,15 @@
         sites: &mut [Site],
     ) {
         let waited = now.steady.saturating_sub(unit.ready);
-        let patience = CLAIM_PATIENCE.min(unit.slack.mul_f64(PATIENCE_SHARE));
-        let patience = patience.saturating_sub(waited).as_secs_f64();
-        let way = Way::Stop { patience };
+        let slack = unit.slack.mul_f64(PATIENCE_SHARE);
+        let after =
+            |limit: Duration| limit.saturating_sub(waited).as_secs_f64();
+        let patience = Patience {
+            short_s: after(CLAIM_PATIENCE.min(slack)),
+            long_s: after(CLAIM_PATIENCE),
+            dear: self.loss_allowed(unit),
+        };
+        let way = Way::Stop(patience);
         let offers = self.choose(now, unit, sites, way);
         if !unit.claim && total_cost(&offers) > self.loss_allowed(unit) {
             self.reserve(now, unit, sites);
@@ -102,7 +125,7 @@
         now: Now,
         unit: &Unit,
         victim: TaskId,
-        patience: f64,
+        patience: Patience,
     ) {
         let Some(job) = self.jobs.get(&victim.job) else {
             return;
@@ -110,7 +133,8 @@
         let Some(run) = job.runs.get(&victim) else {
             return;
         };
-        let soon = time_left(now, job, victim, run) <= patience;
+        let left = time_left(now, job, victim, run);
+        let soon = patience.leaves(left, work_lost(now, job, victim));
         if run.stopping.is_some() || soon {
             return;
         }
@@ -253,7 +277,7 @@
             room = room.plus(&needs);
             victims.push(task);
             cost = match way {
-                Way::Stop { .. } => cost + each,
+                Way::Stop(_) => cost + each,
                 Way::Wait => each.max(cost),
             };
             let fit = wish.fitting(site, &room).min(count);
@@ -284,18 +308,18 @@
                 let run = job.runs.get(task)?;
                 let cost = match way {
                     Way::Wait => time_left(now, job, *task, run),
-                    Way::Stop { .. } if run.stopping.is_some() => 0.0,
-                    Way::Stop { patience }
-                        if time_left(now, job, *task, run) <= patience =>
-                    {
-                        0.0
-                    }
-                    Way::Stop { .. }
-                        if job.batch.priority <= unit.priority =>
-                    {
-                        return None;
+                    Way::Stop(_) if run.stopping.is_some() => 0.0,
+                    Way::Stop(patience) => {
+                        let lost = work_lost(now, job, *task);
+                        let left = time_left(now, job, *task, run);
+                        if patience.leaves(left, lost) {
+                            left / 100.0
+                        } else if job.batch.priority <= unit.priority {
+                            return None;
+                        } else {
+                            lost
+                        }
                     }
-                    Way::Stop { .. } => work_lost(now, job, *task),
                 };
                 Some((cost, *task, *needs))
             })
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -46,8 +46,9 @@
 /// When a caller may come again after a refusal, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
-/// The same while the store is away, in seconds: outages last several.
-const OUTAGE_RETRY_AFTER_S: u32 = 2;
+/// The same while the store is away, in seconds. Callers come back a few
+/// times, and outages last up to ten seconds.
+const OUTAGE_RETRY_AFTER_S: u32 = 3;
 
 type CallersOf = dyn Callers<Call = Call, Answer = Answer>;
 
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -32,13 +32,13 @@
 };
 
 /// How long the lease runs.
-const LEASE: Duration = Duration::from_secs(3);
+const LEASE: Duration = Duration::from_millis(1800);
 
 /// Time between two renewals.
-const RENEW: Duration = Duration::from_millis(800);
+const RENEW: Duration = Duration::from_millis(450);
 
 /// How much sooner than the store the holder counts its lease as over.
-const LEASE_MARGIN: Duration = Duration::from_millis(300);
+const LEASE_MARGIN: Duration = Duration::from_millis(200);
 
 /// How long a candidate waits for the lease to fall free before it looks.
 const CANDIDATE_WATCH: Duration = Duration::from_millis(1500);
