--- a/crates/core/logging.rs
+++ b/crates/core/logging.rs
@@ -1,11 +1,12 @@
-//! Logs on the standard error stream.
+//! Logs: of commands on the standard error stream, of processes on the
+//! platform on the standard output.
 
 use std::str::FromStr;
 
 use log::LevelFilter;
 use simplelog::{ConfigBuilder, WriteLogger};
 
-use crate::exit::CommandError;
+use crate::{exit::CommandError, log_lines::Lines};
 
 /// Where logs go.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,7 +35,11 @@
         .build();
     // A second start in one process keeps the first.
     let _ = match out {
-        Out::Stdout => WriteLogger::init(filter, config, std::io::stdout()),
+        Out::Stdout => {
+            let lines = Lines::start(std::io::stdout())
+                .map_err(|e| CommandError::Usage(e.to_string()))?;
+            WriteLogger::init(filter, config, lines)
+        }
         Out::Stderr => WriteLogger::init(filter, config, std::io::stderr()),
     };
     Ok(())
--- a/crates/core/main.rs
+++ b/crates/core/main.rs
@@ -16,6 +16,7 @@
 mod commands;
 mod exit;
 mod flags;
+mod log_lines;
 mod logging;
 
 fn main() -> ExitCode {
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -1,8 +1,9 @@
 //! What a caller is told, from the configuration and the store alone.
 
 use std::{
+    collections::VecDeque,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
     thread,
@@ -50,6 +51,9 @@
 /// times, and outages last up to ten seconds.
 const OUTAGE_RETRY_AFTER_S: u32 = 3;
 
+/// The most jobs that an entry remembers as unsettled.
+const UNSETTLED_MAX: usize = 4096;
+
 type CallersOf = dyn Callers<Call = Call, Answer = Answer>;
 
 /// Answers callers; clones share everything.
@@ -62,6 +66,9 @@
     pub(super) journal: Journal,
     /// Callers that are being answered.
     pub(super) open: Arc<AtomicUsize>,
+    /// Jobs whose write was sent and not answered: until the store has
+    /// answered for them, nobody can say that they do not run.
+    pub(super) unsettled: Arc<Mutex<VecDeque<BatchId>>>,
 }
 
 /// One caller's patience.
@@ -198,19 +205,43 @@
         if let Some(why) = batch.problem() {
             return Tell::Malformed(why);
         }
-        if !self.catalog.store_up.load(Ordering::Relaxed) {
-            // Nothing was written, so this is true, and known at once.
-            return Tell::NotRun {
-                retry_after_s: OUTAGE_RETRY_AFTER_S,
-            };
-        }
-        let retry_after_s = RETRY_AFTER_S;
-        match stored::create(&*self.kv, &batch, patience) {
-            Written::Stands => Tell::Accepted,
-            Written::Unsettled => Tell::Unsettled,
-            Written::NotDone | Written::Missing => {
+        let written = if self.catalog.store_up.load(Ordering::Relaxed) {
+            stored::create(&*self.kv, &batch, patience)
+        } else {
+            // Known at once, and nothing is written.
+            Written::NotDone
+        };
+        self.settle(id, written)
+    }
+
+    /// What a submission is told, given what became of its write now and of
+    /// an earlier one of the same job.
+    fn settle(&self, id: BatchId, written: Written) -> Tell {
+        let unsettled = self.unsettled.lock();
+        let mut unsettled = unsettled.unwrap_or_else(PoisonError::into_inner);
+        let before = unsettled.contains(&id);
+        let retry_after_s = if self.catalog.store_up.load(Ordering::Relaxed) {
+            RETRY_AFTER_S
+        } else {
+            OUTAGE_RETRY_AFTER_S
+        };
+        match written {
+            Written::Stands => {
+                unsettled.retain(|known| *known != id);
+                Tell::Accepted
+            }
+            Written::NotDone | Written::Missing if !before => {
                 Tell::NotRun { retry_after_s }
             }
+            _ => {
+                if !before {
+                    unsettled.push_back(id);
+                }
+                if unsettled.len() > UNSETTLED_MAX {
+                    unsettled.pop_front();
+                }
+                Tell::Unsettled
+            }
         }
     }
 
--- a/crates/node/src/fleet/catalog.rs
+++ b/crates/node/src/fleet/catalog.rs
@@ -70,7 +70,7 @@
             }
             Err(KvError::Compacted) => {}
             Err(e) => {
-                log::debug!("the watch of {} ended: {e}", parts.catalog_key)
+                log::debug!("the watch of {} ended: {e}", parts.catalog_key);
             }
         }
     }
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -84,6 +84,7 @@
             callers: parts.callers.clone(),
             journal: journal.clone(),
             open: open.clone(),
+            unsettled: Arc::default(),
         };
         for _ in 0..CALLER_THREADS {
             let (desk, calls) = (desk.clone(), calls.clone());
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -314,18 +314,18 @@
     ) {
         crossbeam::select! {
             recv(inputs) -> input => if let Ok(input) = input {
-                self.from_store(scheduler, book, input);
+                self.take_input(scheduler, book, input);
             },
             recv(self.events) -> event => if let Ok(event) = event {
-                self.from_net(scheduler, event);
+                self.take_event(scheduler, event);
             },
             default(TICK) => {},
         }
         while let Ok(input) = inputs.try_recv() {
-            self.from_store(scheduler, book, input);
+            self.take_input(scheduler, book, input);
         }
         while let Ok(event) = self.events.try_recv() {
-            self.from_net(scheduler, event);
+            self.take_event(scheduler, event);
         }
         if let Some(catalog) = self.shared.get() {
             scheduler.workspaces(catalog.workspaces.clone());
@@ -363,7 +363,7 @@
         }
     }
 
-    fn from_store(
+    fn take_input(
         &mut self,
         scheduler: &mut Scheduler,
         book: &mut Book,
@@ -383,7 +383,7 @@
         }
     }
 
-    fn from_net(&mut self, scheduler: &mut Scheduler, event: Event) {
+    fn take_event(&mut self, scheduler: &mut Scheduler, event: Event) {
         match event {
             Event::Up { conn, peer, .. } => {
                 self.journal
--- a/crates/standin/src/platform/site.rs
+++ b/crates/standin/src/platform/site.rs
@@ -183,6 +183,22 @@
         Ok(())
     }
 
+    /// Ends an entry and starts it again with a log that nobody reads.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be started.
+    pub fn restart_entry_unread(&mut self, i: usize) -> io::Result<()> {
+        self.entries[i].process.kill();
+        let member = &self.entries[i];
+        let settings = member.settings.display().to_string();
+        let args = ["entry", "--settings", settings.as_str()];
+        let process =
+            Process::start(&member.name, &self.program, &args, &self.dir)?;
+        self.entries[i].process = process;
+        Ok(())
+    }
+
     /// Starts an agent again that was stopped.
     ///
     /// # Errors
--- a/crates/standin/src/platform/workers.rs
+++ b/crates/standin/src/platform/workers.rs
@@ -65,7 +65,6 @@
     }
 
     /// The model; it stands still while this is held.
-    #[must_use]
     pub fn pool(&self) -> MutexGuard<'_, Pool> {
         let pool = self.shared.pool.lock();
         pool.unwrap_or_else(PoisonError::into_inner)
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,10 +16,22 @@
 
 const SOON: Duration = Duration::from_secs(10);
 
+/// A configuration is in force within this time of its write.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
 pub fn site(entries: usize, agents: usize) -> Site {
     Site::start(&figrill(), entries, agents).expect("the site starts")
 }
 
+struct Case {
+    what: &'static str,
+    client: Client,
+    method: &'static str,
+    path: &'static str,
+    body: Option<serde_json::Value>,
+    status: u16,
+}
+
 #[test]
 fn callers_are_told_what_is_true() {
     let site = site(1, 2);
@@ -31,14 +43,6 @@
     assert_eq!(known.submit(entry, 1, &job(2, 4, 300, true)).status, 200);
     site.wait_state(0, 1, "done", SOON);
     assert_eq!(site.starts(1), 2);
-    struct Case {
-        what: &'static str,
-        client: Client,
-        method: &'static str,
-        path: &'static str,
-        body: Option<serde_json::Value>,
-        status: u16,
-    }
     let id = "/q/00000000000000aa";
     let case = |what, method, path, body, status| Case {
         what,
@@ -164,8 +168,6 @@
 #[test]
 fn a_configuration_is_adopted_in_time_and_never_reverts() {
     let site = site(2, 1);
-    // In force within two seconds of its write.
-    const IN_FORCE: Duration = Duration::from_millis(2000);
     site.configure(&configuration(5, &[KEY, "second"]));
     let second = Client::new("second");
     for i in 0..2 {
@@ -223,3 +225,45 @@
     let _ = site.client.submit(entry, 1, &job(1, 1, 100, false));
     site.wait_state(0, 1, "done", SOON);
 }
+
+#[test]
+fn a_job_that_may_yet_run_is_not_called_not_run_later() {
+    let site = site(1, 1);
+    let entry = site.entry(0);
+    let work = job(1, 1, 100, false);
+    site.entries[0].door.faults().late = Some(Duration::from_secs(6));
+    assert_eq!(site.client.submit(entry, 1, &work).status, 504);
+    site.entries[0].door.faults().late = None;
+    // The store refuses now, but the first write is still on its way.
+    site.entries[0].door.faults().down = Down::Busy;
+    thread::sleep(Duration::from_millis(1500));
+    assert_eq!(site.client.submit(entry, 1, &work).status, 504);
+    assert_eq!(site.client.submit(entry, 2, &work).status, 503);
+    site.entries[0].door.faults().down = Down::Up;
+    site.wait_state(0, 1, "done", SOON);
+    assert_eq!(site.starts(1), 1);
+}
+
+#[test]
+fn a_log_that_nobody_reads_keeps_nobody_waiting() {
+    let mut site = site(1, 1);
+    site.restart_entry_unread(0).expect("it starts");
+    let entry = site.entry(0);
+    wait_for("the entry", SOON, || {
+        (site.client.state(entry, 9) == "410").then_some(())
+    });
+    // Far more lines than a pipe and the ring hold.
+    for _ in 0..3 {
+        let askers: Vec<_> = (0..8)
+            .map(|_| {
+                let client = site.client.clone();
+                thread::spawn(move || {
+                    (0..250).all(|_| client.state(entry, 9) == "410")
+                })
+            })
+            .collect();
+        for asker in askers {
+            assert!(asker.join().expect("an asker"));
+        }
+    }
+}
