Learn how long a queue's tasks run; claims wait by that

A task is now thought to take at least seven tenths of what its queue's tasks usually take; the learner is shared with the product's own coordinator.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -29,18 +29,17 @@
 pub mod health;
 pub mod job_state;
 pub mod jobs;
-pub mod learn;
 pub mod placement;
 pub mod queue;
 pub mod rebuild;
 mod reserve;
 pub mod schedule;
 
+use crate::learn::{Estimate, Learner};
 use cell::{Cell, View};
 use guarantee::{Guarantees, Shortfall};
 use health::Health;
 use job_state::{JobState, Phase};
-use learn::{Estimate, Learner};
 use queue::Queue;
 use schedule::Reservation;
 
--- a/crates/coordination/src/coordinator/job_state.rs
+++ b/crates/coordination/src/coordinator/job_state.rs
@@ -12,7 +12,8 @@
 
 use crate::message::{Band, Dispatched, Header, Member, Run};
 
-use super::{learn::KindId, placement::Placement};
+use super::placement::Placement;
+use crate::learn::KindId;
 
 /// An attempt with its place.
 #[derive(Clone, Debug)]
--- a/crates/coordination/src/coordinator/jobs.rs
+++ b/crates/coordination/src/coordinator/jobs.rs
@@ -17,12 +17,13 @@
     Standing,
 };
 
+use crate::learn::KindId;
+
 use super::{
     Action, Coordinator, UNKNOWN_AFTER,
     cell::View,
     guarantee::{Claim, Guarantees, accelerators_each},
     job_state::{JobState, Phase},
-    learn::KindId,
     placement,
     queue::Rank,
 };
--- a/crates/coordination/src/coordinator/schedule.rs
+++ b/crates/coordination/src/coordinator/schedule.rs
@@ -18,10 +18,10 @@
 use super::cell::Booked;
 use super::guarantee::{Claim, Packed};
 use super::job_state::{Choice, JobState, Phase};
-use super::learn::KindId;
 use super::placement::Placement;
 use super::queue::Lane;
 use super::{Coordinator, placement};
+use crate::learn::KindId;
 
 /// The most waiting jobs of one workspace that one pass looks at.
 const DEPTH: usize = 24;
--- a/crates/coordination/src/coordinator/learn.rs
+++ b/crates/coordination/src/learn.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use figrill_state::job::Shape;
+use figrill_state::job::{Adjacency, Shape};
 
 /// Buckets of a sketch: each is a quarter longer than the one before, from
 /// [`SHORTEST`] on, which reaches beyond a month.
@@ -164,6 +164,17 @@
         id
     }
 
+    /// The kind of all work of a queue.
+    pub fn kind_of_queue(&mut self, queue: &str) -> KindId {
+        let shape = Shape {
+            parts: 1,
+            accelerators: 0,
+            memory_mib: 0,
+            adjacency: Adjacency::default(),
+        };
+        self.kind("", queue, &shape, None)
+    }
+
     /// Takes note of a run that ended by itself.
     pub fn add(&mut self, kind: KindId, time: Duration) {
         if kind == OTHER {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod agent;
 pub mod coordinator;
 pub mod entry;
+pub mod learn;
 pub mod message;
 pub mod scheduler;
 pub mod term;
--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -17,6 +17,7 @@
     runner::Started,
 };
 
+use crate::learn::Learner;
 use job::{Job, Phase, Run};
 use message::{Grant, Report, ToAgent};
 use worker::{Verdict, Worker};
@@ -99,6 +100,7 @@
     removals: Vec<BatchId>,
     waiting_changed: bool,
     commits: commit::Commits,
+    learner: Learner,
     out: Vec<Action>,
 }
 
@@ -118,6 +120,7 @@
             removals: Vec::new(),
             waiting_changed: true,
             commits: commit::Commits::default(),
+            learner: Learner::default(),
             out: Vec::new(),
         }
     }
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -231,9 +231,10 @@
         begin + u64::try_from(allowed.as_millis()).unwrap_or(0)
     }
 
-    /// How long the job may wait in all and still end when it is due.
-    pub(super) fn slack(&self) -> Duration {
-        let chain = Duration::from_millis(self.chain_ms());
+    /// How long the job may wait in all and still end when it is due, if
+    /// its work takes what is `typical` at least.
+    pub(super) fn slack(&self, typical: Duration) -> Duration {
+        let chain = Duration::from_millis(self.chain_ms()).max(typical);
         let more = (self.batch.stretch - 1.0).clamp(0.0, 1e6);
         chain.mul_f64(more) + self.batch.target
     }
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -27,6 +27,10 @@
 /// The most units that have room kept free for them at once.
 const RESERVATIONS_MAX: usize = 2;
 
+/// The share of what a queue's tasks usually take that a task is thought to
+/// take at least, whatever its estimate says.
+const TYPICAL_SHARE: f64 = 0.7;
+
 /// The longest that a claim waits for one rack before it is spread over
 /// several; it leaves time to start within the bound on claims.
 const CLAIM_PICKY: Duration = Duration::from_secs(2);
@@ -45,6 +49,17 @@
     /// How long it may wait and still end when its caller wants it, if its
     /// estimate is right.
     pub(super) slack: Duration,
+    /// How long its tasks are thought to run.
+    pub(super) expected: Duration,
+}
+
+/// What units are made with, besides their job.
+#[derive(Clone, Copy)]
+struct Background {
+    now: Now,
+    claim: bool,
+    /// What tasks of the queue take at least, as learnt.
+    typical: Duration,
 }
 
 impl Unit {
@@ -86,6 +101,7 @@
     /// Everything that waits to be placed.
     fn units(&mut self, now: Now) -> Vec<Unit> {
         let claims = self.claims();
+        let typical = self.typical_times();
         let mut units = Vec::new();
         for job in self.jobs.values_mut() {
             if job.progress.state.is_final() || job.batch.cancelled {
@@ -95,13 +111,35 @@
                 if job.batch.due_ms(occurrence) > now.wall_ms {
                     break;
                 }
-                let claim = claims.contains(&job.batch.id);
-                units_of(job, occurrence, now, claim, &mut units);
+                let with = Background {
+                    now,
+                    claim: claims.contains(&job.batch.id),
+                    typical: typical
+                        .get(&job.batch.queue)
+                        .copied()
+                        .unwrap_or_default(),
+                };
+                units_of(job, occurrence, with, &mut units);
             }
         }
         units
     }
 
+    /// How long tasks of each queue usually run, as far as was learnt.
+    fn typical_times(&mut self) -> BTreeMap<String, Duration> {
+        let queues: BTreeSet<String> =
+            self.jobs.values().map(|j| j.batch.queue.clone()).collect();
+        queues
+            .into_iter()
+            .map(|queue| {
+                let kind = self.learner.kind_of_queue(&queue);
+                let known = Some(Duration::ZERO);
+                let middle = self.learner.estimate(kind, known).middle;
+                (queue, middle.mul_f64(TYPICAL_SHARE))
+            })
+            .collect()
+    }
+
     /// Jobs of priority 0 that fit into the guarantee of their workspace,
     /// in the order in which they were accepted.
     fn claims(&self) -> BTreeSet<BatchId> {
@@ -249,7 +287,10 @@
         }
         let waited = now.steady.saturating_sub(unit.ready).as_millis();
         let due_in = i128::from(unit.due_ms) - i128::from(now.wall_ms);
-        let detail = format!("waited_ms={waited} due_in_ms={due_in}{detail}");
+        let claim = unit.claim;
+        let detail = format!(
+            "waited_ms={waited} due_in_ms={due_in} claim={claim}{detail}"
+        );
         self.dirty.insert(id);
         self.waiting_changed = true;
         self.note(Code::JobPlaced, id, &detail);
@@ -275,11 +316,10 @@
     wish: &Wish,
     sites: &[Site],
 ) -> bool {
-    let estimate = Duration::from_millis(wish.step.estimate_ms);
     let patience = if unit.claim {
-        estimate.min(CLAIM_PICKY)
+        unit.expected.min(CLAIM_PICKY)
     } else {
-        estimate
+        unit.expected
     };
     let waited = now.steady.saturating_sub(unit.ready);
     waited >= patience || !wish.could_share_rack(sites, unit.count())
@@ -288,8 +328,7 @@
 fn units_of(
     job: &mut Job,
     occurrence: u32,
-    now: Now,
-    claim: bool,
+    with: Background,
     units: &mut Vec<Unit>,
 ) {
     let steps = u32::try_from(job.batch.steps.len()).unwrap_or(0);
@@ -308,7 +347,9 @@
             continue;
         }
         let key = (occurrence, step);
-        let ready = *job.ready.entry(key).or_insert(now.steady);
+        let ready = *job.ready.entry(key).or_insert(with.now.steady);
+        let estimate = job.batch.steps[step as usize].estimate_ms;
+        let expected = Duration::from_millis(estimate).max(with.typical);
         for task in &tasks {
             // The progress of every task exists before it is placed.
             job.task_mut(*task);
@@ -319,8 +360,9 @@
             priority: job.batch.priority,
             ready,
             due_ms: job.due_ms(occurrence),
-            claim,
-            slack: job.slack(),
+            claim: with.claim,
+            slack: job.slack(with.typical),
+            expected,
         });
     }
 }
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -10,7 +10,7 @@
 
 use super::{
     HOLD, Now, Scheduler,
-    job::Phase,
+    job::{Phase, Run},
     message::{Grant, Report, ToAgent},
     over_at,
     worker::Verdict,
@@ -189,8 +189,8 @@
         {
             run.checkpoint.clone_from(&ended.checkpoint);
         }
-        if is_current {
-            self.release(id, ended.end.name());
+        if is_current && let Some(run) = self.release(id, ended.end.name()) {
+            self.learn(now, id, &run, ended.end);
         }
         match ended.end {
             End::Done => {
@@ -211,6 +211,18 @@
         }
     }
 
+    /// Learns how long tasks of a queue run from one that ran whole.
+    fn learn(&mut self, now: Now, id: TaskId, run: &Run, end: End) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let whole = end == End::Done && run.began_at == 0;
+        if let (true, Some(at)) = (whole, run.ordered) {
+            let kind = self.learner.kind_of_queue(&job.batch.queue);
+            self.learner.add(kind, now.steady.saturating_sub(at));
+        }
+    }
+
     fn end_well(&mut self, now: Now, agent: &str, id: TaskId) {
         if let Some(worker) = self.workers.get_mut(agent) {
             worker.judge(now.steady, id.job, Verdict::Good);
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -322,6 +322,21 @@
     assert_sound(&sim, "hang");
 }
 
+#[test]
+fn one_long_task_among_short_ones_is_left_alone() {
+    let mut sim = Sim::new(4, 1);
+    sim.run(300);
+    // As if one of four tasks had ten times the work.
+    if let Some(node) = sim.pool.nodes.get_mut("agent-00") {
+        node.slowdown = 10;
+    }
+    let mut batch = job(1, 1, 4, 8, 200);
+    batch.payload = batch.payload.replace("ms=200", "ms=2000");
+    sim.submit(batch);
+    assert!(sim.run_until(25_000, Sim::all_ended));
+    assert_eq!(count(&sim, "stopped"), 0, "{:?}", sim.pool.trace);
+}
+
 #[test]
 fn a_gangs_member_that_has_done_its_share_is_left_in_peace() {
     let mut sim = Sim::new(2, 1);
--- a/crates/example/src/pool.rs
+++ b/crates/example/src/pool.rs
@@ -89,6 +89,8 @@
     pub reachable: bool,
     /// Whether all that starts here fails.
     pub fails_all: bool,
+    /// How many times slower than others it works.
+    pub slowdown: u64,
     token: u64,
     lease_ms: u64,
     runs: BTreeMap<TaskId, Run>,
@@ -105,6 +107,7 @@
             upstream,
             reachable: true,
             fails_all: false,
+            slowdown: 1,
             token: 0,
             lease_ms: 0,
             runs: BTreeMap::new(),
@@ -332,8 +335,11 @@
             }
         }
         for (agent, task) in works {
-            let node = self.nodes.get_mut(&agent);
-            if let Some(run) = node.and_then(|n| n.runs.get_mut(&task)) {
+            let Some(node) = self.nodes.get_mut(&agent) else {
+                continue;
+            };
+            let step_ms = step_ms / node.slowdown.max(1);
+            if let Some(run) = node.runs.get_mut(&task) {
                 run.done_ms = (run.done_ms + step_ms).min(run.work.ms);
             }
         }
