--- /dev/null
+++ b/crates/coordination/src/scheduler/endings.rs
@@ -0,0 +1,196 @@
+//! How runs, tasks and jobs end, and how runs are made to.
+
+use std::time::Duration;
+
+use figrill_state::{
+    batch::{BatchId, BatchState, TaskId},
+    event::Code,
+};
+
+use super::{
+    Now, Scheduler,
+    job::{Phase, Run},
+    message::ToAgent,
+};
+
+/// Time between two sendings of a stop that was not seen to work.
+const STOP_AGAIN: Duration = Duration::from_millis(500);
+
+impl Scheduler {
+    /// A run is surely over, or was never there. Frees what it occupied and
+    /// keeps its checkpoint.
+    pub(super) fn release(&mut self, id: TaskId, why: &str) -> Option<Run> {
+        let job = self.jobs.get_mut(&id.job)?;
+        let run = job.runs.remove(&id)?;
+        if let Some(task) = job.task_mut(id) {
+            task.placement = None;
+            if !run.checkpoint.is_empty() {
+                task.checkpoint.clone_from(&run.checkpoint);
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(&run.agent) {
+            worker.occupied.remove(&id);
+        }
+        self.dirty.insert(id.job);
+        let detail = format!(
+            "task={id} run={} agent={} percent={} why={why}",
+            run.number, run.agent, run.percent
+        );
+        self.note(Code::PartEnded, id.job, &detail);
+        self.share_gang_checkpoint(id, &run.checkpoint);
+        Some(run)
+    }
+
+    /// All members of a gang start from the same checkpoint: the one that
+    /// was learnt last.
+    pub(super) fn share_gang_checkpoint(
+        &mut self,
+        id: TaskId,
+        checkpoint: &str,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let gang = job.batch.step(id).is_some_and(|s| s.gang);
+        if !gang || checkpoint.is_empty() {
+            return;
+        }
+        for member in job.tasks_of(id.occurrence, id.step) {
+            if let Some(task) = job.task_mut(member) {
+                checkpoint.clone_into(&mut task.checkpoint);
+            }
+        }
+    }
+
+    /// Marks a task as done; of a gang, all its members.
+    pub(super) fn finish(&mut self, now: Now, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let gang = job.batch.step(id).is_some_and(|s| s.gang);
+        let persistent = job.batch.step(id).is_some_and(|s| s.persistent);
+        if persistent {
+            return;
+        }
+        let members: Vec<TaskId> = if gang {
+            job.tasks_of(id.occurrence, id.step).collect()
+        } else {
+            vec![id]
+        };
+        for member in members {
+            if let Some(task) = job.task_mut(member) {
+                task.done = true;
+                task.checkpoint.clear();
+            }
+        }
+        self.dirty.insert(id.job);
+        self.judge_job(now, id.job);
+    }
+
+    /// Finds out whether a job has ended, and stops what is left of it.
+    pub(super) fn judge_job(&mut self, now: Now, id: BatchId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !job.progress.state.is_final() {
+            let state = if job.is_done() {
+                BatchState::Done
+            } else if job.batch.cancelled {
+                BatchState::Cancelled
+            } else if job.has_failed() {
+                BatchState::Failed
+            } else {
+                return;
+            };
+            job.progress.state = state;
+            job.progress.ended_ms = now.wall_ms;
+            let detail = format!(
+                "state={state:?} age_ms={} due_in_ms={}",
+                now.wall_ms.saturating_sub(job.batch.accepted_ms),
+                i128::from(job.due_ms(0)) - i128::from(now.wall_ms),
+            );
+            self.dirty.insert(id);
+            self.note(Code::JobEnded, id, &detail);
+        }
+        self.stop_job(id);
+    }
+
+    pub(super) fn stop_job(&mut self, id: BatchId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let runs: Vec<TaskId> = job
+            .runs
+            .iter()
+            .filter(|(task, _)| !job.task(**task).is_some_and(|t| t.done))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in runs {
+            self.stop(task, "the job has ended");
+        }
+    }
+
+    /// Wants a run to end. One that was not ordered yet is released at once.
+    pub(super) fn stop(&mut self, id: TaskId, why: &str) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let Some(run) = job.runs.get_mut(&id) else {
+            return;
+        };
+        if matches!(run.phase, Phase::Committing { .. }) {
+            self.release(id, why);
+            return;
+        }
+        if run.stopping.is_none() {
+            run.stopping = Some(Duration::ZERO);
+            let detail = format!(
+                "task={id} run={} agent={} percent={} why={why}",
+                run.number, run.agent, run.percent
+            );
+            self.note(Code::PartStopped, id.job, &detail);
+        }
+    }
+
+    pub(super) fn stop_gang_of(&mut self, id: TaskId, why: &str) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        if !job.batch.step(id).is_some_and(|s| s.gang) {
+            return;
+        }
+        let members: Vec<TaskId> = job
+            .tasks_of(id.occurrence, id.step)
+            .filter(|t| !job.task(*t).is_some_and(|p| p.done))
+            .collect();
+        for member in members {
+            self.stop(member, why);
+        }
+    }
+
+    pub(super) fn send_stops(&mut self, now: Now) {
+        let mut orders = Vec::new();
+        for job in self.jobs.values_mut() {
+            for (task, run) in &mut job.runs {
+                let Some(sent) = run.stopping else {
+                    continue;
+                };
+                let first = sent == Duration::ZERO;
+                if !first && now.steady < sent + STOP_AGAIN {
+                    continue;
+                }
+                run.stopping = Some(now.steady.max(Duration::from_nanos(1)));
+                let message = ToAgent::Stop {
+                    upstream: run.upstream.clone(),
+                    token: self.token,
+                    task: *task,
+                    run: run.number,
+                };
+                orders.push((run.agent.clone(), message));
+            }
+        }
+        for (agent, message) in orders {
+            self.send(&agent, message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/agent/orders.rs
@@ -0,0 +1,79 @@
+//! Starts and stops, as the coordinator orders them.
+
+use std::sync::atomic::Ordering;
+
+use figrill_coordination::scheduler::message::{StartResult, ToAgent};
+use figrill_state::{
+    event::{Code, Note},
+    job::JobId,
+    runner::{Refusal, Started},
+};
+use figrill_transport::peer::Net;
+
+use super::{Beside, report};
+
+/// Carries an order out and reports what became of it.
+pub(super) fn carry_out(beside: &Beside, net: &Net, order: ToAgent) {
+    let (upstream, token) = {
+        let state = beside.lock();
+        (state.upstream.clone(), state.grant.token)
+    };
+    match order {
+        ToAgent::Start {
+            upstream: meant,
+            start,
+        } => {
+            let begun = beside.parts.clock.now();
+            let refused = Started::Refused;
+            let started = match &upstream {
+                _ if start.token < token => refused(Refusal::Fenced),
+                Some(u) if u.incarnation != meant => {
+                    refused(Refusal::OtherLife)
+                }
+                // The upstream was told that it gets no more work.
+                Some(u) if u.draining => refused(Refusal::Unhealthy),
+                Some(_) if beside.draining.load(Ordering::Relaxed) => {
+                    refused(Refusal::Late)
+                }
+                Some(u) => beside.parts.runner.start(u, &start),
+                None => refused(Refusal::OtherLife),
+            };
+            let took = beside.parts.clock.now().saturating_sub(begun);
+            beside.journal.metrics.time("start", took);
+            let detail = format!(
+                "task={} run={} result={started:?} took_ms={}",
+                start.task,
+                start.run,
+                took.as_millis()
+            );
+            note(beside, Code::PartStarted, start.task.job.0, detail);
+            let result = StartResult {
+                task: start.task,
+                run: start.run,
+                started,
+            };
+            report(beside, net, None, vec![result]);
+        }
+        ToAgent::Stop {
+            upstream: meant,
+            task,
+            run,
+            token,
+        } => {
+            let Some(upstream) = upstream.filter(|u| u.incarnation == meant)
+            else {
+                return;
+            };
+            let runner = &beside.parts.runner;
+            let stopped = runner.stop(&upstream, task, run, token);
+            let detail = format!("task={task} run={run} result={stopped:?}");
+            note(beside, Code::PartStopped, task.job.0, detail);
+        }
+        ToAgent::Grant(_) => {}
+    }
+}
+
+fn note(beside: &Beside, code: Code, job: u64, detail: String) {
+    let job = Some(JobId(u128::from(job)));
+    beside.journal.note(&Note { code, job, detail });
+}
--- /dev/null
+++ b/crates/node/src/fleet/agent/upstream.rs
@@ -0,0 +1,83 @@
+//! What the upstream tells the agent beside it.
+
+use figrill_state::{event::Code, runner::Upstream};
+use figrill_transport::http::{Answer, Event};
+
+use super::{Beside, FromUpstream};
+
+/// Takes in what the upstream tells, and acknowledges it.
+pub(super) fn hear(beside: &Beside, event: Event) {
+    let Event::Call(call) = event else {
+        return;
+    };
+    let decode = beside.parts.decode_upstream;
+    let status = match decode(call.method.as_str(), &call.path, &call.body) {
+        None => 404,
+        Some(Err(e)) => {
+            let detail = format!("path={} why={e}", call.path);
+            beside.journal.say(Code::SettingsRefused, detail);
+            400
+        }
+        Some(Ok(FromUpstream::Heartbeat(upstream))) => {
+            meet(beside, *upstream);
+            200
+        }
+        Some(Ok(FromUpstream::Leaves { id })) => {
+            leave(beside, &id);
+            200
+        }
+    };
+    call.responder.send(Answer::json(status, b"{}".to_vec()));
+}
+
+/// Adopts what a heartbeat says, unless a later one was there before.
+fn meet(beside: &Beside, upstream: Upstream) {
+    let mut state = beside.lock();
+    let order = |u: &Upstream| (u.incarnation.born_ms, u.sequence);
+    let known = state.upstream.as_ref();
+    if known.is_some_and(|k| order(k) > order(&upstream)) {
+        return;
+    }
+    let same = known.is_some_and(|k| k.incarnation == upstream.incarnation);
+    let ended = state.gone.as_ref() == Some(&upstream.incarnation);
+    if ended {
+        return;
+    }
+    let drains =
+        upstream.draining && known.is_none_or(|k| !k.draining || !same);
+    if !same {
+        state.reported = 0;
+        state.grant.deadline_ms = None;
+        state.grant.acknowledged = 0;
+        let detail = format!(
+            "upstream={} born={} service={}",
+            upstream.incarnation.id,
+            upstream.incarnation.born_ms,
+            upstream.service
+        );
+        beside.journal.say(Code::UpstreamUp, detail);
+    }
+    if drains {
+        let detail = format!(
+            "upstream={} draining remaining={:?}",
+            upstream.incarnation.id, upstream.remaining
+        );
+        beside.journal.say(Code::UpstreamGone, detail);
+    }
+    state.upstream = Some(upstream);
+    beside.changed.notify_all();
+}
+
+fn leave(beside: &Beside, id: &str) {
+    let mut state = beside.lock();
+    let life = state.upstream.as_ref().map(|u| u.incarnation.clone());
+    let Some(life) = life.filter(|l| l.id == id) else {
+        return;
+    };
+    beside
+        .journal
+        .say(Code::UpstreamGone, format!("upstream={id} left"));
+    state.upstream = None;
+    state.gone = Some(life);
+    beside.changed.notify_all();
+}
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -10,13 +10,13 @@
     time::Duration,
 };
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded};
 use figrill_coordination::scheduler::{Action, Commit, Now, Scheduler};
 use figrill_protocol::message::{Beat, Message, Peer};
 use figrill_state::{
-    batch::{Batch, BatchId, Ledger, Progress, decode, encode, keys},
+    batch::{Batch, keys},
     event::{Code, Stamp},
-    kv::{Change, Kv, KvError, Txn},
+    kv::{Kv, KvError, Txn},
     store::LeaseId,
 };
 use figrill_transport::peer::{ConnId, Event, Net};
@@ -31,6 +31,12 @@
     metrics::Journal,
 };
 
+mod calls;
+mod records;
+
+use calls::{start_commits, start_watch};
+use records::Loaded;
+
 /// How long the lease runs.
 const LEASE: Duration = Duration::from_millis(1800);
 
@@ -43,9 +49,6 @@
 /// How long a candidate waits for the lease to fall free before it looks.
 const CANDIDATE_WATCH: Duration = Duration::from_millis(1500);
 
-/// How long the coordinator waits for jobs before it asks again.
-const INPUTS_WATCH: Duration = Duration::from_secs(2);
-
 /// Time between two ticks without any input.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -448,215 +451,3 @@
     dialled: BTreeMap<String, Duration>,
     beat: Duration,
 }
-
-/// All records, as a new coordinator finds them.
-struct Loaded {
-    jobs: Vec<(Batch, Option<Progress>)>,
-    agents: BTreeMap<String, String>,
-    /// The ledger's revision; 0: there is none.
-    ledger: u64,
-    /// Where the watch of jobs and agents begins.
-    revision: u64,
-}
-
-impl Loaded {
-    fn read(kv: &dyn Kv) -> Result<Self, KvError> {
-        let inputs = kv.list(keys::INPUTS, STORE_TIMEOUT)?;
-        let outputs = kv.list("figrill/out/", STORE_TIMEOUT)?;
-        let mut progress = BTreeMap::new();
-        let mut ledger = 0;
-        for item in outputs.items {
-            if item.key == keys::LEDGER {
-                ledger = item.revision;
-            } else if let Some(id) = id_of(&item.key, keys::PROGRESS) {
-                match decode::<Progress>(&item.value) {
-                    Ok(found) => {
-                        progress.insert(id, found);
-                    }
-                    Err(e) => log::error!("{}: {e}", item.key),
-                }
-            }
-        }
-        let mut loaded = Self {
-            jobs: Vec::new(),
-            agents: BTreeMap::new(),
-            ledger,
-            revision: inputs.revision,
-        };
-        for item in inputs.items {
-            match input(&item.key, &item.value) {
-                Some(FromStore::Job(batch)) => {
-                    let progress = progress.remove(&batch.id);
-                    loaded.jobs.push((*batch, progress));
-                }
-                Some(FromStore::Agent(name, address)) => {
-                    loaded.agents.insert(name, address);
-                }
-                _ => {}
-            }
-        }
-        Ok(loaded)
-    }
-}
-
-fn id_of(key: &str, prefix: &str) -> Option<BatchId> {
-    BatchId::parse(key.strip_prefix(prefix)?)
-}
-
-/// What a key that the coordinator watches says.
-fn input(key: &str, value: &[u8]) -> Option<FromStore> {
-    if let Some(name) = key.strip_prefix(keys::AGENTS) {
-        let address = String::from_utf8_lossy(value).into_owned();
-        return Some(FromStore::Agent(name.to_owned(), address));
-    }
-    key.strip_prefix(keys::JOBS)?;
-    match decode::<Batch>(value) {
-        Ok(batch) => Some(FromStore::Job(Box::new(batch))),
-        Err(e) => {
-            log::error!("{key}: {e}");
-            None
-        }
-    }
-}
-
-/// Watches jobs and agents. Where the history is gone, all is read again.
-fn start_watch(
-    term: &Arc<Term>,
-    mut revision: u64,
-    tx: Sender<FromStore>,
-) -> Result<(), String> {
-    let term = term.clone();
-    serve::start("watch", move || {
-        while !term.over.load(Ordering::Relaxed) {
-            let seen = term.kv.watch(keys::INPUTS, revision, INPUTS_WATCH);
-            let sent = match seen {
-                Ok(changes) => {
-                    revision = changes.revision.max(revision);
-                    pass_changes(changes.changes, &tx)
-                }
-                Err(KvError::Compacted) => {
-                    read_again(&term, &mut revision, &tx)
-                }
-                Err(e) => {
-                    log::debug!("the watch of jobs ended: {e}");
-                    thread::sleep(STORE_AGAIN);
-                    read_again(&term, &mut revision, &tx)
-                }
-            };
-            if !sent {
-                return;
-            }
-        }
-    })
-    .map_err(|e| e.to_string())
-}
-
-/// `false` if nobody listens any more.
-fn pass_changes(changes: Vec<Change>, tx: &Sender<FromStore>) -> bool {
-    for change in changes {
-        let input = match change {
-            Change::Put(item) => input(&item.key, &item.value),
-            Change::Removed(key) => key
-                .strip_prefix(keys::AGENTS)
-                .map(|name| FromStore::AgentGone(name.to_owned())),
-        };
-        if let Some(input) = input
-            && tx.send(input).is_err()
-        {
-            return false;
-        }
-    }
-    true
-}
-
-fn read_again(
-    term: &Term,
-    revision: &mut u64,
-    tx: &Sender<FromStore>,
-) -> bool {
-    match term.kv.list(keys::INPUTS, STORE_TIMEOUT) {
-        Ok(listing) => {
-            *revision = listing.revision;
-            let changes = listing.items.into_iter().map(Change::Put);
-            pass_changes(changes.collect(), tx)
-        }
-        Err(e) => {
-            log::debug!("the jobs were not read again: {e}");
-            true
-        }
-    }
-}
-
-/// Writes commits, one after the other, each until it stands.
-fn start_commits(
-    term: &Arc<Term>,
-    ledger: u64,
-    tx: Sender<FromStore>,
-) -> Result<Sender<Commit>, String> {
-    let (commits, rx) = bounded::<Commit>(1);
-    let term = term.clone();
-    serve::start("commit", move || {
-        let mut ledger = ledger;
-        while !term.over.load(Ordering::Relaxed) {
-            let commit = match rx.recv_timeout(LEASE) {
-                Ok(commit) => commit,
-                Err(RecvTimeoutError::Timeout) => continue,
-                Err(RecvTimeoutError::Disconnected) => return,
-            };
-            let number = commit.number;
-            if !write(&term, &commit, &mut ledger)
-                || tx.send(FromStore::Committed(number)).is_err()
-            {
-                return;
-            }
-        }
-    })
-    .map_err(|e| e.to_string())?;
-    Ok(commits)
-}
-
-/// Writes one commit. `false` if this process coordinates no longer.
-fn write(term: &Term, commit: &Commit, ledger: &mut u64) -> bool {
-    let record = Ledger {
-        token: term.token,
-        commit: commit.number,
-        waiting: commit.waiting.clone(),
-    };
-    let mut txn = Txn::swap(keys::LEDGER, *ledger, encode(&record));
-    let coordinator = keys::COORDINATOR.to_owned();
-    txn.conditions.push((coordinator, term.token));
-    for (id, progress) in &commit.progress {
-        txn.puts.push((keys::progress(*id), encode(progress), None));
-    }
-    for id in &commit.removals {
-        txn.removes.push(keys::job(*id));
-        txn.removes.push(keys::progress(*id));
-    }
-    while !term.over.load(Ordering::Relaxed) {
-        match term.kv.commit(&txn, STORE_TIMEOUT) {
-            Ok(revision) => {
-                *ledger = revision;
-                return true;
-            }
-            Err(KvError::Conflict(items)) => {
-                let mine = items.iter().find(|i| {
-                    i.key == keys::LEDGER
-                        && decode::<Ledger>(&i.value).ok().as_ref()
-                            == Some(&record)
-                });
-                if let Some(item) = mine {
-                    // An earlier sending took effect; its answer was lost.
-                    *ledger = item.revision;
-                    return true;
-                }
-                log::warn!("a commit met another coordinator's");
-                term.over.store(true, Ordering::Relaxed);
-            }
-            Err(e) => {
-                log::debug!("a commit is tried again: {e}");
-                thread::sleep(STORE_AGAIN);
-            }
-        }
-    }
-    false
-}
