Name types and functions by the field's terms

Desk, Tell, Ask, Beside, Book, Door, strangers and lives were words of our own: now a caller service, replies, request kinds, an agent's context, a directory, endpoints, orphans and incarnations. The log's fields ask and told are kind and reply.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -170,7 +170,7 @@
             self.dirty.insert(id);
         }
         self.jobs.insert(id, job);
-        self.judge_job(now, id);
+        self.update_job_state(now, id);
     }
 
     /// A job was accepted or cancelled.
@@ -185,7 +185,7 @@
             job.batch.cancelled |= cancelled;
             if cancelled && !already {
                 self.note(Code::JobCancelled, id, "by its caller");
-                self.judge_job(now, id);
+                self.update_job_state(now, id);
             }
             return;
         }
@@ -202,7 +202,7 @@
         self.jobs.insert(id, job);
         self.waiting_changed = true;
         if cancelled {
-            self.judge_job(now, id);
+            self.update_job_state(now, id);
         }
     }
 
@@ -304,7 +304,7 @@
                 self.release(id, refusal.name());
                 self.stop_gang_of(id, "a member was refused");
                 if refusal == figrill_state::runner::Refusal::Unhealthy {
-                    self.blame(now, id, agent, Verdict::Stuck);
+                    self.record_failure(now, id, agent, Verdict::Stuck);
                 }
             }
         }
--- a/crates/coordination/src/scheduler/endings.rs
+++ b/crates/coordination/src/scheduler/endings.rs
@@ -84,11 +84,11 @@
             }
         }
         self.dirty.insert(id.job);
-        self.judge_job(now, id.job);
+        self.update_job_state(now, id.job);
     }
 
     /// Finds out whether a job has ended, and stops what is left of it.
-    pub(super) fn judge_job(&mut self, now: Now, id: BatchId) {
+    pub(super) fn update_job_state(&mut self, now: Now, id: BatchId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -46,13 +46,13 @@
     /// A run that loses more than `dear` is left to end within this many.
     long_s: f64,
     /// Core-seconds.
-    dear: f64,
+    costly: f64,
 }
 
 impl Patience {
     /// Whether a run is left to end.
     fn leaves(&self, left_s: f64, lost: f64) -> bool {
-        left_s <= self.short_s || lost > self.dear && left_s <= self.long_s
+        left_s <= self.short_s || lost > self.costly && left_s <= self.long_s
     }
 }
 
@@ -83,7 +83,7 @@
         let patience = Patience {
             short_s: after(CLAIM_PATIENCE.min(slack)),
             long_s: after(CLAIM_PATIENCE),
-            dear: self.loss_allowed(unit),
+            costly: self.loss_allowed(unit),
         };
         let way = Way::Stop(patience);
         let offers = self.choose(now, unit, sites, way);
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -28,12 +28,12 @@
         scheduler.started(now, agent, result.task, result.started);
     }
     if let Some(gone) = &report.gone {
-        scheduler.life_is_over(now, agent, gone);
+        scheduler.incarnation_ended(now, agent, gone);
     }
     let Some(upstream) = report.upstream else {
         return;
     };
-    if !scheduler.meet(now, agent, &upstream) {
+    if !scheduler.register(now, agent, &upstream) {
         return;
     }
     let Some(snapshot) = report.snapshot else {
@@ -54,7 +54,12 @@
 impl Scheduler {
     /// Takes note of an upstream. `false` if it is an earlier life than the
     /// one that is known.
-    fn meet(&mut self, now: Now, agent: &str, upstream: &Upstream) -> bool {
+    fn register(
+        &mut self,
+        now: Now,
+        agent: &str,
+        upstream: &Upstream,
+    ) -> bool {
         let worker = self.workers.entry(agent.to_owned()).or_default();
         let known = worker.incarnation().cloned();
         let newer = known
@@ -69,7 +74,7 @@
             worker.clock = None;
             worker.seen = 0;
             worker.uncommitted.clear();
-            worker.strangers.clear();
+            worker.orphans.clear();
             worker.leaves_from = None;
         }
         let before = worker.upstream.as_ref().map(|u| u.sequence);
@@ -86,34 +91,43 @@
             );
             let note = figrill_state::event::Note::new(Code::WorkerUp, detail);
             self.out.push(super::Action::Note(note));
-            self.lose_other_lives(now, agent, &upstream.incarnation);
+            self.release_earlier_incarnations(
+                now,
+                agent,
+                &upstream.incarnation,
+            );
         }
         true
     }
 
     /// Releases what was placed on lives of an upstream before this one.
-    fn lose_other_lives(
+    fn release_earlier_incarnations(
         &mut self,
         now: Now,
         agent: &str,
         now_is: &Incarnation,
     ) {
-        self.lose_where(now, agent, |placed| {
+        self.release_where(now, agent, |placed| {
             placed != now_is && placed.born_ms <= now_is.born_ms
         });
     }
 
-    fn life_is_over(&mut self, now: Now, agent: &str, gone: &Incarnation) {
+    fn incarnation_ended(
+        &mut self,
+        now: Now,
+        agent: &str,
+        gone: &Incarnation,
+    ) {
         if let Some(worker) = self.workers.get_mut(agent)
             && worker.incarnation() == Some(gone)
         {
             worker.upstream = None;
             worker.clock = None;
         }
-        self.lose_where(now, agent, |placed| placed == gone);
+        self.release_where(now, agent, |placed| placed == gone);
     }
 
-    fn lose_where(
+    fn release_where(
         &mut self,
         _now: Now,
         agent: &str,
@@ -162,7 +176,7 @@
             self.see_running(now, agent, life, snapshot.clock_ms, running);
         }
         self.miss_absent(agent, snapshot);
-        self.count_strangers(agent, snapshot);
+        self.count_orphans(agent, snapshot);
     }
 
     fn take_end(&mut self, now: Now, agent: &str, ended: &Ended) {
@@ -200,9 +214,9 @@
                 if let Some(job) = self.jobs.get_mut(&id.job) {
                     job.count_failure(id, ended.run);
                 }
-                self.blame(now, id, agent, Verdict::Failed);
+                self.record_failure(now, id, agent, Verdict::Failed);
                 self.stop_gang_of(id, "a member failed");
-                self.judge_job(now, id.job);
+                self.update_job_state(now, id.job);
             }
             _ if is_current => {
                 self.stop_gang_of(id, "a member ended");
@@ -307,8 +321,8 @@
 
     /// Runs that no placement stands for are stopped, and occupy the worker
     /// until they are gone.
-    fn count_strangers(&mut self, agent: &str, snapshot: &Snapshot) {
-        let mut strangers = Vec::new();
+    fn count_orphans(&mut self, agent: &str, snapshot: &Snapshot) {
+        let mut orphans = Vec::new();
         for running in &snapshot.running {
             let job = self.jobs.get(&running.task.job);
             let run = job.and_then(|j| j.runs.get(&running.task));
@@ -319,16 +333,16 @@
             }
             let step = job.and_then(|j| j.batch.step(running.task));
             let needs = step.map(|s| s.needs);
-            strangers.push((running.task, running.run, needs));
+            orphans.push((running.task, running.run, needs));
         }
         let Some(worker) = self.workers.get_mut(agent) else {
             return;
         };
-        worker.strangers.clone_from(&strangers);
+        worker.orphans.clone_from(&orphans);
         let Some(upstream) = worker.incarnation().cloned() else {
             return;
         };
-        for (task, run, _) in strangers {
+        for (task, run, _) in orphans {
             let detail = format!(
                 "task={task} run={run} agent={agent} why=no placement"
             );
--- a/crates/coordination/src/scheduler/watch.rs
+++ b/crates/coordination/src/scheduler/watch.rs
@@ -91,7 +91,7 @@
             self.stop_gang_of(id, "the gang did not come together");
         }
         for (id, agent) in stuck {
-            self.blame(now, id, &agent, Verdict::Stuck);
+            self.record_failure(now, id, &agent, Verdict::Stuck);
             self.stop(id, "it stands still");
             self.stop_gang_of(id, "a member stands still");
         }
@@ -118,7 +118,7 @@
     }
 
     /// Takes note that a run went wrong on a worker.
-    pub(super) fn blame(
+    pub(super) fn record_failure(
         &mut self,
         now: Now,
         id: TaskId,
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -46,7 +46,7 @@
     /// What occupies it, by task.
     pub(super) occupied: BTreeMap<TaskId, Resources>,
     /// Runs there that belong to no placement, with what they occupy.
-    pub(super) strangers: Vec<(TaskId, u32, Option<Resources>)>,
+    pub(super) orphans: Vec<(TaskId, u32, Option<Resources>)>,
     /// The highest end that was taken in.
     pub(super) seen: u64,
     /// Ends that were taken in and do not stand in the store yet.
@@ -93,7 +93,7 @@
         for needs in self.occupied.values() {
             free = free.minus(needs);
         }
-        for (_, _, needs) in &self.strangers {
+        for (_, _, needs) in &self.orphans {
             // What is not known may be anything.
             let Some(needs) = needs else {
                 return Resources::default();
--- a/crates/example/src/pool.rs
+++ b/crates/example/src/pool.rs
@@ -180,7 +180,7 @@
         };
         let clock_ms = node.clock(now_ms);
         if node.upstream.incarnation != *life {
-            return Started::Refused(Refusal::OtherLife);
+            return Started::Refused(Refusal::OtherIncarnation);
         }
         if start.token < node.token {
             return Started::Refused(Refusal::Fenced);
--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -37,7 +37,7 @@
 
 use hold::hold_for_good;
 use orders::carry_out;
-use upstream::hear;
+use upstream::handle_call;
 
 /// Starts and stops that are carried out at the same time.
 const ORDER_THREADS: usize = 3;
@@ -59,7 +59,7 @@
 }
 
 /// What the agent's threads share.
-struct Beside {
+struct AgentContext {
     parts: AgentParts,
     journal: Journal,
     state: Mutex<State>,
@@ -80,7 +80,7 @@
     reported: u64,
 }
 
-impl Beside {
+impl AgentContext {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -104,22 +104,22 @@
         let (server, calls) = serve::listen(&runtime, &settings.upstream)?;
         serve::metrics(&runtime, &settings.metrics, &journal)?;
         let draining = Arc::new(AtomicBool::new(false));
-        let beside = Arc::new(Beside {
+        let cx = Arc::new(AgentContext {
             parts: parts.clone(),
             journal: journal.clone(),
             state: Mutex::default(),
             changed: Condvar::new(),
             draining: draining.clone(),
         });
-        let heard = beside.clone();
+        let heard = cx.clone();
         serve::start("upstream", move || {
             let _server = server;
             for call in calls {
-                hear(&heard, call);
+                handle_call(&heard, call);
             }
         })?;
         let handle = runtime.handle();
-        let worked = beside.clone();
+        let worked = cx.clone();
         serve::start("agent", move || {
             let secret = secret::obtain(&*worked.parts.kv);
             let (tx, events) = bounded(NET_RING);
@@ -181,20 +181,20 @@
 
 /// Joins the streams of coordinators to the threads that call the upstream.
 fn work(
-    beside: &Arc<Beside>,
+    cx: &Arc<AgentContext>,
     net: &Net,
     events: &Receiver<Event>,
 ) -> Result<(), StartError> {
     let (orders, rx) = bounded(ORDER_RING);
     for _ in 0..ORDER_THREADS {
-        let (beside, rx, net) = (beside.clone(), rx.clone(), net.clone());
+        let (cx, rx, net) = (cx.clone(), rx.clone(), net.clone());
         serve::start("order", move || {
             for order in rx {
-                carry_out(&beside, &net, order);
+                carry_out(&cx, &net, order);
             }
         })?;
     }
-    let (holding, held) = (beside.clone(), net.clone());
+    let (holding, held) = (cx.clone(), net.clone());
     serve::start("hold", move || hold_for_good(&holding, &held))?;
     let mut conns: Vec<ConnId> = Vec::new();
     let mut beat = Duration::ZERO;
@@ -203,19 +203,19 @@
             match event {
                 Event::Up { conn, peer, .. } => {
                     let detail = format!("peer={}", peer.name);
-                    beside.journal.say(Code::PeerUp, detail);
+                    cx.journal.say(Code::PeerUp, detail);
                     conns.push(conn);
                 }
                 Event::Frame { conn, frame } => {
                     if let Message::ToAgent(order) = frame.message {
-                        take_order(beside, conn, order, &orders);
+                        take_order(cx, conn, order, &orders);
                     }
                 }
                 Event::Down { conn, why } => {
                     let detail = format!("why={why}");
-                    beside.journal.say(Code::PeerDown, detail);
+                    cx.journal.say(Code::PeerDown, detail);
                     conns.retain(|c| *c != conn);
-                    let mut state = beside.lock();
+                    let mut state = cx.lock();
                     if state.coordinator == Some(conn) {
                         state.coordinator = None;
                     }
@@ -223,7 +223,7 @@
                 Event::DialFailed { .. } | Event::Refused { .. } => {}
             }
         }
-        let now = beside.parts.clock.now();
+        let now = cx.parts.clock.now();
         if now >= beat + BEAT {
             beat = now;
             for conn in &conns {
@@ -236,7 +236,7 @@
 
 /// Takes a coordinator's message. One with an older token is left unheard.
 fn take_order(
-    beside: &Beside,
+    cx: &AgentContext,
     conn: ConnId,
     order: ToAgent,
     orders: &Sender<ToAgent>,
@@ -247,7 +247,7 @@
         ToAgent::Stop { token, .. } => *token,
     };
     {
-        let mut state = beside.lock();
+        let mut state = cx.lock();
         if token < state.grant.token {
             return;
         }
@@ -273,26 +273,26 @@
                 acknowledged,
                 ..grant
             };
-            beside.changed.notify_all();
+            cx.changed.notify_all();
             return;
         }
     }
     match orders.try_send(order) {
         Ok(()) => {}
         Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-            beside.journal.say(Code::RingFull, "orders");
+            cx.journal.say(Code::RingFull, "orders");
         }
     }
 }
 
 fn report(
-    beside: &Beside,
+    cx: &AgentContext,
     net: &Net,
     snapshot: Option<Snapshot>,
     results: Vec<StartResult>,
 ) {
     send(
-        beside,
+        cx,
         net,
         Report {
             snapshot,
@@ -303,9 +303,9 @@
 }
 
 /// Sends a report with what is known of the upstream now.
-fn send(beside: &Beside, net: &Net, mut report: Report) {
+fn send(cx: &AgentContext, net: &Net, mut report: Report) {
     let conn = {
-        let state = beside.lock();
+        let state = cx.lock();
         report.upstream.clone_from(&state.upstream);
         report.gone.clone_from(&state.gone);
         state.coordinator
@@ -315,6 +315,6 @@
     };
     let message = Message::Report(Box::new(report));
     if net.send(conn, Stamp::default(), message).is_err() {
-        beside.journal.say(Code::RingFull, "to the coordinator");
+        cx.journal.say(Code::RingFull, "to the coordinator");
     }
 }
--- a/crates/node/src/fleet/agent/hold.rs
+++ b/crates/node/src/fleet/agent/hold.rs
@@ -10,7 +10,7 @@
 };
 use figrill_transport::peer::Net;
 
-use super::{BEAT, Beside, LOOK, State, report, send};
+use super::{AgentContext, BEAT, LOOK, State, report, send};
 
 /// How long a hold waits for an end while something runs.
 const HOLD_BUSY: Duration = Duration::from_millis(500);
@@ -31,17 +31,17 @@
 const GONE_AFTER: Duration = Duration::from_millis(400);
 
 /// Extends what runs as far as it was granted, and reports what is there.
-pub(super) fn hold_for_good(beside: &Beside, net: &Net) {
+pub(super) fn hold_for_good(cx: &AgentContext, net: &Net) {
     let mut busy = false;
     let mut refused_since = None;
     loop {
         let (upstream, grant) = {
-            let state = beside.lock();
+            let state = cx.lock();
             (state.upstream.clone(), state.grant.clone())
         };
         let Some(upstream) = upstream.filter(|_| grant.token > 0) else {
-            report(beside, net, None, Vec::new());
-            wait(beside, BEAT);
+            report(cx, net, None, Vec::new());
+            wait(cx, BEAT);
             continue;
         };
         let ours = grant.upstream == upstream.incarnation;
@@ -56,23 +56,23 @@
                 (true, false) => HOLD_IDLE,
             },
         };
-        match beside.parts.runner.hold(&upstream, hold) {
+        match cx.parts.runner.hold(&upstream, hold) {
             Ok(snapshot) => {
                 refused_since = None;
                 busy = !snapshot.running.is_empty();
                 let last = snapshot.ended.last().map_or(0, |e| e.number);
-                send_snapshot(beside, net, &upstream, grant.token, snapshot);
-                await_ack(beside, last, &grant);
+                send_snapshot(cx, net, &upstream, grant.token, snapshot);
+                await_ack(cx, last, &grant);
             }
             Err(e) => {
-                let now = beside.parts.clock.now();
+                let now = cx.parts.clock.now();
                 let refused = matches!(e, RunnerError::NotThere(_));
                 let since = refused_since.filter(|_| refused);
                 if since.is_some_and(|at| now >= at + GONE_AFTER) {
-                    crashed(beside, &upstream.incarnation);
+                    mark_crashed(cx, &upstream.incarnation);
                 }
                 refused_since = refused.then(|| since.unwrap_or(now));
-                failed(beside, net, &e);
+                failed(cx, net, &e);
                 thread::sleep(HOLD_AGAIN);
             }
         }
@@ -80,30 +80,30 @@
 }
 
 /// The upstream has ended without a word: what ran there is over.
-fn crashed(beside: &Beside, life: &Incarnation) {
-    let mut state = beside.lock();
+fn mark_crashed(cx: &AgentContext, life: &Incarnation) {
+    let mut state = cx.lock();
     if state
         .upstream
         .as_ref()
         .is_some_and(|u| u.incarnation == *life)
     {
         let detail = format!("upstream={} crashed", life.id);
-        beside.journal.say(Code::UpstreamGone, detail);
+        cx.journal.say(Code::UpstreamGone, detail);
         state.upstream = None;
         state.gone = Some(life.clone());
     }
 }
 
-fn failed(beside: &Beside, net: &Net, e: &RunnerError) {
-    beside.journal.metrics.call("hold", "failed");
+fn failed(cx: &AgentContext, net: &Net, e: &RunnerError) {
+    cx.journal.metrics.call("hold", "failed");
     log::debug!("the upstream's list was not read: {e}");
-    report(beside, net, None, Vec::new());
+    report(cx, net, None, Vec::new());
 }
 
 /// Waits for a word from the coordinator on this report: a later grant or,
 /// if ends were reported, that they stand in the store.
-fn await_ack(beside: &Beside, last: u64, before: &Grant) {
-    let state = beside.lock();
+fn await_ack(cx: &AgentContext, last: u64, before: &Grant) {
+    let state = cx.lock();
     let waits = |s: &mut State| {
         let unanswered = s.grant == *before;
         let unacknowledged =
@@ -111,16 +111,16 @@
         unanswered || unacknowledged
     };
     let limit = if last > 0 { ACK_WAIT } else { LOOK };
-    drop(beside.changed.wait_timeout_while(state, limit, waits));
+    drop(cx.changed.wait_timeout_while(state, limit, waits));
 }
 
-fn wait(beside: &Beside, limit: Duration) {
-    let state = beside.lock();
-    drop(beside.changed.wait_timeout(state, limit));
+fn wait(cx: &AgentContext, limit: Duration) {
+    let state = cx.lock();
+    drop(cx.changed.wait_timeout(state, limit));
 }
 
 fn send_snapshot(
-    beside: &Beside,
+    cx: &AgentContext,
     net: &Net,
     upstream: &Upstream,
     token: u64,
@@ -131,7 +131,7 @@
         return;
     }
     send(
-        beside,
+        cx,
         net,
         Report {
             token,
--- a/crates/node/src/fleet/agent/orders.rs
+++ b/crates/node/src/fleet/agent/orders.rs
@@ -10,12 +10,12 @@
 };
 use figrill_transport::peer::Net;
 
-use super::{Beside, report};
+use super::{AgentContext, report};
 
 /// Carries an order out and reports what became of it.
-pub(super) fn carry_out(beside: &Beside, net: &Net, order: ToAgent) {
+pub(super) fn carry_out(cx: &AgentContext, net: &Net, order: ToAgent) {
     let (upstream, token) = {
-        let state = beside.lock();
+        let state = cx.lock();
         (state.upstream.clone(), state.grant.token)
     };
     match order {
@@ -23,36 +23,36 @@
             upstream: meant,
             start,
         } => {
-            let begun = beside.parts.clock.now();
+            let begun = cx.parts.clock.now();
             let refused = Started::Refused;
             let started = match &upstream {
                 _ if start.token < token => refused(Refusal::Fenced),
                 Some(u) if u.incarnation != meant => {
-                    refused(Refusal::OtherLife)
+                    refused(Refusal::OtherIncarnation)
                 }
                 // The upstream was told that it gets no more work.
                 Some(u) if u.draining => refused(Refusal::Unhealthy),
-                Some(_) if beside.draining.load(Ordering::Relaxed) => {
+                Some(_) if cx.draining.load(Ordering::Relaxed) => {
                     refused(Refusal::Late)
                 }
-                Some(u) => beside.parts.runner.start(u, &start),
-                None => refused(Refusal::OtherLife),
+                Some(u) => cx.parts.runner.start(u, &start),
+                None => refused(Refusal::OtherIncarnation),
             };
-            let took = beside.parts.clock.now().saturating_sub(begun);
-            beside.journal.metrics.time("start", took);
+            let took = cx.parts.clock.now().saturating_sub(begun);
+            cx.journal.metrics.time("start", took);
             let detail = format!(
                 "task={} run={} result={started:?} took_ms={}",
                 start.task,
                 start.run,
                 took.as_millis()
             );
-            note(beside, Code::PartStarted, start.task.job.0, detail);
+            note(cx, Code::PartStarted, start.task.job.0, detail);
             let result = StartResult {
                 task: start.task,
                 run: start.run,
                 started,
             };
-            report(beside, net, None, vec![result]);
+            report(cx, net, None, vec![result]);
         }
         ToAgent::Stop {
             upstream: meant,
@@ -64,16 +64,16 @@
             else {
                 return;
             };
-            let runner = &beside.parts.runner;
+            let runner = &cx.parts.runner;
             let stopped = runner.stop(&upstream, task, run, token);
             let detail = format!("task={task} run={run} result={stopped:?}");
-            note(beside, Code::PartStopped, task.job.0, detail);
+            note(cx, Code::PartStopped, task.job.0, detail);
         }
         ToAgent::Grant(_) => {}
     }
 }
 
-fn note(beside: &Beside, code: Code, job: u64, detail: String) {
+fn note(cx: &AgentContext, code: Code, job: u64, detail: String) {
     let job = Some(JobId(u128::from(job)));
-    beside.journal.note(&Note { code, job, detail });
+    cx.journal.note(&Note { code, job, detail });
 }
--- a/crates/node/src/fleet/agent/upstream.rs
+++ b/crates/node/src/fleet/agent/upstream.rs
@@ -3,27 +3,27 @@
 use figrill_state::{event::Code, runner::Upstream};
 use figrill_transport::http::{Answer, Event};
 
-use super::{Beside, FromUpstream};
+use super::{AgentContext, FromUpstream};
 
 /// Takes in what the upstream tells, and acknowledges it.
-pub(super) fn hear(beside: &Beside, event: Event) {
+pub(super) fn handle_call(cx: &AgentContext, event: Event) {
     let Event::Call(call) = event else {
         return;
     };
-    let decode = beside.parts.decode_upstream;
+    let decode = cx.parts.decode_upstream;
     let status = match decode(call.method.as_str(), &call.path, &call.body) {
         None => 404,
         Some(Err(e)) => {
             let detail = format!("path={} why={e}", call.path);
-            beside.journal.say(Code::SettingsRefused, detail);
+            cx.journal.say(Code::SettingsRefused, detail);
             400
         }
         Some(Ok(FromUpstream::Heartbeat(upstream))) => {
-            meet(beside, *upstream);
+            register(cx, *upstream);
             200
         }
         Some(Ok(FromUpstream::Leaves { id })) => {
-            leave(beside, &id);
+            deregister(cx, &id);
             200
         }
     };
@@ -31,8 +31,8 @@
 }
 
 /// Adopts what a heartbeat says, unless a later one was there before.
-fn meet(beside: &Beside, upstream: Upstream) {
-    let mut state = beside.lock();
+fn register(cx: &AgentContext, upstream: Upstream) {
+    let mut state = cx.lock();
     let order = |u: &Upstream| (u.incarnation.born_ms, u.sequence);
     let known = state.upstream.as_ref();
     if known.is_some_and(|k| order(k) > order(&upstream)) {
@@ -55,29 +55,28 @@
             upstream.incarnation.born_ms,
             upstream.service
         );
-        beside.journal.say(Code::UpstreamUp, detail);
+        cx.journal.say(Code::UpstreamUp, detail);
     }
     if drains {
         let detail = format!(
             "upstream={} draining remaining={:?}",
             upstream.incarnation.id, upstream.remaining
         );
-        beside.journal.say(Code::UpstreamGone, detail);
+        cx.journal.say(Code::UpstreamGone, detail);
     }
     state.upstream = Some(upstream);
-    beside.changed.notify_all();
+    cx.changed.notify_all();
 }
 
-fn leave(beside: &Beside, id: &str) {
-    let mut state = beside.lock();
+fn deregister(cx: &AgentContext, id: &str) {
+    let mut state = cx.lock();
     let life = state.upstream.as_ref().map(|u| u.incarnation.clone());
     let Some(life) = life.filter(|l| l.id == id) else {
         return;
     };
-    beside
-        .journal
+    cx.journal
         .say(Code::UpstreamGone, format!("upstream={id} left"));
     state.upstream = None;
     state.gone = Some(life);
-    beside.changed.notify_all();
+    cx.changed.notify_all();
 }
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -13,7 +13,7 @@
 use crossbeam::channel::Receiver;
 use figrill_state::{
     batch::{Batch, BatchId},
-    callers::{Ask, Callers, Request, Tell},
+    callers::{Callers, Reply, Request, RequestKind},
     catalog::Queue,
     clock::Clock,
     event::{Code, Note},
@@ -58,7 +58,7 @@
 
 /// Answers callers; clones share everything.
 #[derive(Clone)]
-pub(super) struct Desk {
+pub(super) struct CallerService {
     pub(super) kv: Arc<dyn Kv>,
     pub(super) clock: Arc<dyn Clock>,
     pub(super) catalog: Arc<Shared>,
@@ -87,7 +87,7 @@
     }
 }
 
-impl Desk {
+impl CallerService {
     /// Answers callers until the ring ends.
     pub(super) fn run(&self, calls: &Receiver<Event>) {
         for event in calls {
@@ -97,10 +97,10 @@
             self.open.fetch_add(1, Ordering::Relaxed);
             let begun = self.clock.now();
             let request = self.callers.request(&call);
-            let (tell, id) = self.tell(&request, &call.body, begun);
+            let (reply, id) = self.reply(&request, &call.body, begun);
             let took = self.clock.now().saturating_sub(begun);
-            self.note(&request, &tell, id, took);
-            call.responder.send(self.callers.answer(&tell));
+            self.note(&request, &reply, id, took);
+            call.responder.send(self.callers.answer(&reply));
             self.open.fetch_sub(1, Ordering::Relaxed);
         }
     }
@@ -108,22 +108,22 @@
     fn note(
         &self,
         request: &Request,
-        tell: &Tell,
+        reply: &Reply,
         id: Option<BatchId>,
         took: Duration,
     ) {
-        self.journal.metrics.call("caller", tell.name());
+        self.journal.metrics.call("caller", reply.name());
         self.journal.metrics.time("caller", took);
-        let code = match tell {
-            Tell::Accepted => Code::JobAccepted,
-            Tell::CancelAccepted => Code::JobCancelled,
-            Tell::State(_) | Tell::Pending(_) => Code::JobAnswered,
+        let code = match reply {
+            Reply::Accepted => Code::JobAccepted,
+            Reply::CancelAccepted => Code::JobCancelled,
+            Reply::State(_) | Reply::Pending(_) => Code::JobAnswered,
             _ => Code::JobRefused,
         };
         let version = self.catalog.get().map_or(0, |c| c.version);
         let detail = format!(
-            "ask={:?} told={tell:?} path={} version={version} took_ms={}",
-            request.ask,
+            "kind={:?} reply={reply:?} path={} version={version} took_ms={}",
+            request.kind,
             request.path,
             took.as_millis()
         );
@@ -131,39 +131,43 @@
         self.journal.note(&Note { code, job, detail });
     }
 
-    fn tell(
+    fn reply(
         &self,
         request: &Request,
         body: &[u8],
         begun: Duration,
-    ) -> (Tell, Option<BatchId>) {
+    ) -> (Reply, Option<BatchId>) {
         let retry_after_s = RETRY_AFTER_S;
         let Some(catalog) = self.catalog.get() else {
-            return (Tell::NotRun { retry_after_s }, None);
+            return (Reply::NotRun { retry_after_s }, None);
         };
         let Some(queue) = catalog.queue(&request.host, &request.path) else {
-            return (Tell::NoSuchQueue, None);
+            return (Reply::NoSuchQueue, None);
         };
         let key = request.key.as_deref();
         let workspace = key.and_then(|k| catalog.keys.get(k));
         if workspace.is_none() && !queue.public {
-            return (Tell::UnknownKey, None);
+            return (Reply::UnknownKey, None);
         }
         let workspace = workspace.map(String::as_str).unwrap_or_default();
         let patience = self.patience(request, begun);
         let id = self.callers.id(&request.path, &queue.prefix);
-        let tell = match (request.ask, id) {
-            (Some(Ask::Submit), Some(id)) => {
+        let reply = match (request.kind, id) {
+            (Some(RequestKind::Submit), Some(id)) => {
                 self.submit(queue, workspace, id, body, &patience)
             }
-            (Some(Ask::Show), Some(id)) => self.show(id, &patience),
-            (Some(Ask::Show), None) if request.path == queue.prefix => {
+            (Some(RequestKind::Show), Some(id)) => self.show(id, &patience),
+            (Some(RequestKind::Show), None)
+                if request.path == queue.prefix =>
+            {
                 self.pending(&queue.name, &patience)
             }
-            (Some(Ask::Cancel), Some(id)) => self.cancel(id, &patience),
-            _ => Tell::Malformed("no such call".to_owned()),
+            (Some(RequestKind::Cancel), Some(id)) => {
+                self.cancel(id, &patience)
+            }
+            _ => Reply::Malformed("no such call".to_owned()),
         };
-        (tell, id)
+        (reply, id)
     }
 
     fn patience(&self, request: &Request, begun: Duration) -> Clocked<'_> {
@@ -182,10 +186,10 @@
         id: BatchId,
         body: &[u8],
         patience: &dyn Patience,
-    ) -> Tell {
+    ) -> Reply {
         let posted = match self.callers.submission(body) {
             Ok(posted) => posted,
-            Err(why) => return Tell::Malformed(why),
+            Err(why) => return Reply::Malformed(why),
         };
         let batch = Batch {
             id,
@@ -203,7 +207,7 @@
             cancelled: false,
         };
         if let Some(why) = batch.problem() {
-            return Tell::Malformed(why);
+            return Reply::Malformed(why);
         }
         let written = if self.catalog.store_up.load(Ordering::Relaxed) {
             stored::create(&*self.kv, &batch, patience)
@@ -216,7 +220,7 @@
 
     /// What a submission is told, given what became of its write now and of
     /// an earlier one of the same job.
-    fn settle(&self, id: BatchId, written: Written) -> Tell {
+    fn settle(&self, id: BatchId, written: Written) -> Reply {
         let unsettled = self.unsettled.lock();
         let mut unsettled = unsettled.unwrap_or_else(PoisonError::into_inner);
         let before = unsettled.contains(&id);
@@ -228,10 +232,10 @@
         match written {
             Written::Stands => {
                 unsettled.retain(|known| *known != id);
-                Tell::Accepted
+                Reply::Accepted
             }
             Written::NotDone | Written::Missing if !before => {
-                Tell::NotRun { retry_after_s }
+                Reply::NotRun { retry_after_s }
             }
             _ => {
                 if !before {
@@ -240,52 +244,52 @@
                 if unsettled.len() > UNSETTLED_MAX {
                     unsettled.pop_front();
                 }
-                Tell::Unsettled
+                Reply::Unsettled
             }
         }
     }
 
-    fn cancel(&self, id: BatchId, patience: &dyn Patience) -> Tell {
+    fn cancel(&self, id: BatchId, patience: &dyn Patience) -> Reply {
         match stored::cancel(&*self.kv, id, patience) {
-            Written::Stands => Tell::CancelAccepted,
-            Written::Missing => Tell::NoSuchJob,
-            Written::Unsettled => Tell::Unsettled,
-            Written::NotDone => Tell::TryLater {
+            Written::Stands => Reply::CancelAccepted,
+            Written::Missing => Reply::NoSuchJob,
+            Written::Unsettled => Reply::Unsettled,
+            Written::NotDone => Reply::TryLater {
                 retry_after_s: RETRY_AFTER_S,
             },
         }
     }
 
-    fn show(&self, id: BatchId, patience: &dyn Patience) -> Tell {
-        ask(patience, |left| {
+    fn show(&self, id: BatchId, patience: &dyn Patience) -> Reply {
+        ask_store(patience, |left| {
             Ok(match stored::state(&*self.kv, id, left)? {
-                Known::State(state) => Tell::State(state),
-                Known::Missing => Tell::NoSuchJob,
+                Known::State(state) => Reply::State(state),
+                Known::Missing => Reply::NoSuchJob,
             })
         })
     }
 
-    fn pending(&self, queue: &str, patience: &dyn Patience) -> Tell {
-        ask(patience, |left| {
-            stored::waiting(&*self.kv, queue, left).map(Tell::Pending)
+    fn pending(&self, queue: &str, patience: &dyn Patience) -> Reply {
+        ask_store(patience, |left| {
+            stored::waiting(&*self.kv, queue, left).map(Reply::Pending)
         })
     }
 }
 
 /// Asks the store until it answers or the caller's patience ends.
-fn ask(
+fn ask_store(
     patience: &dyn Patience,
-    read: impl Fn(Duration) -> Result<Tell, figrill_state::kv::KvError>,
-) -> Tell {
+    read: impl Fn(Duration) -> Result<Reply, figrill_state::kv::KvError>,
+) -> Reply {
     loop {
         let left = patience.left();
         if left.is_zero() {
-            return Tell::TryLater {
+            return Reply::TryLater {
                 retry_after_s: RETRY_AFTER_S,
             };
         }
         match read(left) {
-            Ok(tell) => return tell,
+            Ok(reply) => return reply,
             Err(e) => log::debug!("the store did not answer a question: {e}"),
         }
         patience.pause();
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -14,7 +14,7 @@
 
 use super::{
     EntryParts,
-    callers::Desk,
+    callers::CallerService,
     catalog::{self, Shared},
     lead::Lead,
     serve,
@@ -77,7 +77,7 @@
         )?;
         serve::metrics(&runtime, &settings.metrics, &journal)?;
         let open = Arc::new(AtomicUsize::new(0));
-        let desk = Desk {
+        let desk = CallerService {
             kv: parts.kv.clone(),
             clock: parts.clock.clone(),
             catalog: shared.clone(),
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -280,7 +280,7 @@
             }
         };
         let mut scheduler = Scheduler::new(term.token, self.now());
-        let mut book = Book {
+        let mut book = AgentDirectory {
             addresses: loaded.agents,
             dialled: BTreeMap::new(),
             beat: Duration::ZERO,
@@ -310,7 +310,7 @@
     fn one_round(
         &mut self,
         scheduler: &mut Scheduler,
-        book: &mut Book,
+        book: &mut AgentDirectory,
         inputs: &Receiver<FromStore>,
         commits: &Sender<Commit>,
         term: &Term,
@@ -369,7 +369,7 @@
     fn take_input(
         &mut self,
         scheduler: &mut Scheduler,
-        book: &mut Book,
+        book: &mut AgentDirectory,
         input: FromStore,
     ) {
         let now = self.now();
@@ -420,7 +420,7 @@
 
     /// Dials agents that are not connected, and says on all streams that
     /// this end lives.
-    fn reach_agents(&mut self, book: &mut Book) {
+    fn reach_agents(&mut self, book: &mut AgentDirectory) {
         let now = self.parts.clock.now();
         for (name, address) in &book.addresses {
             let last = book.dialled.get(name);
@@ -446,7 +446,7 @@
 }
 
 /// Agents and when they were last dialled.
-struct Book {
+struct AgentDirectory {
     addresses: BTreeMap<String, String>,
     dialled: BTreeMap<String, Duration>,
     beat: Duration,
--- a/crates/protocol/src/wire/dispatch.rs
+++ b/crates/protocol/src/wire/dispatch.rs
@@ -236,7 +236,7 @@
     runner::Refusal::Late,
     runner::Refusal::Room,
     runner::Refusal::Unhealthy,
-    runner::Refusal::OtherLife,
+    runner::Refusal::OtherIncarnation,
 ];
 
 fn place<T: PartialEq>(all: &[T], v: &T) -> u8 {
--- a/crates/standin/src/platform/site.rs
+++ b/crates/standin/src/platform/site.rs
@@ -13,7 +13,7 @@
 
 use super::{
     client::Client,
-    store::{self, Door},
+    store::{self, Endpoint},
     workers::Workers,
 };
 use crate::process::{Process, wait_for};
@@ -33,7 +33,7 @@
     /// The process.
     pub process: Process,
     /// Its own address of the store.
-    pub door: Door,
+    pub door: Endpoint,
     /// An entry's address for callers, an agent's for its upstream.
     pub address: SocketAddr,
     settings: PathBuf,
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -49,13 +49,13 @@
 
 /// One address of the store.
 #[derive(Clone)]
-pub struct Door {
+pub struct Endpoint {
     /// Where it is reached.
     pub address: SocketAddr,
     faults: Arc<Mutex<Faults>>,
 }
 
-impl Door {
+impl Endpoint {
     /// Changes what is wrong here.
     pub fn faults(&self) -> MutexGuard<'_, Faults> {
         self.faults.lock().unwrap_or_else(PoisonError::into_inner)
@@ -73,11 +73,11 @@
 /// # Errors
 ///
 /// If it can't listen.
-pub fn open(kv: &MemoryKv) -> io::Result<Door> {
+pub fn open(kv: &MemoryKv) -> io::Result<Endpoint> {
     let faults: Arc<Mutex<Faults>> = Arc::default();
     let (kv, seen) = (kv.clone(), faults.clone());
     let address = serve("127.0.0.1:0", move |call| answer(&kv, &seen, call))?;
-    Ok(Door { address, faults })
+    Ok(Endpoint { address, faults })
 }
 
 fn answer(kv: &MemoryKv, faults: &Mutex<Faults>, call: &Call) -> Reply {
--- a/crates/state/src/callers.rs
+++ b/crates/state/src/callers.rs
@@ -7,7 +7,7 @@
 
 /// What a caller asks for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Ask {
+pub enum RequestKind {
     /// To run a job.
     Submit,
     /// For a job's state, or a queue's length.
@@ -28,12 +28,12 @@
     /// How long the caller waits for an answer, if it says so.
     pub patience: Option<Duration>,
     /// What it asks; `None` if that is nothing known.
-    pub ask: Option<Ask>,
+    pub kind: Option<RequestKind>,
 }
 
 /// A job as its caller describes it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Posted {
+pub struct Submission {
     /// What the upstream is given.
     pub payload: String,
     /// Its steps.
@@ -44,7 +44,7 @@
 
 /// What a caller is told. The list is closed.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Tell {
+pub enum Reply {
     /// The job stands in the store.
     Accepted,
     /// The cancellation stands in the store.
@@ -81,7 +81,7 @@
     Unsettled,
 }
 
-impl Tell {
+impl Reply {
     /// The name that logs and metrics use.
     #[must_use]
     pub const fn name(&self) -> &'static str {
@@ -120,8 +120,8 @@
     /// # Errors
     ///
     /// What is wrong and where.
-    fn submission(&self, body: &[u8]) -> Result<Posted, String>;
+    fn submission(&self, body: &[u8]) -> Result<Submission, String>;
 
     /// Writes an answer.
-    fn answer(&self, tell: &Tell) -> Self::Answer;
+    fn answer(&self, reply: &Reply) -> Self::Answer;
 }
--- a/crates/state/src/runner.rs
+++ b/crates/state/src/runner.rs
@@ -149,7 +149,7 @@
     /// The upstream is unhealthy or does not know what was asked.
     Unhealthy,
     /// It is another life of the upstream than the one that was meant.
-    OtherLife,
+    OtherIncarnation,
 }
 
 impl Refusal {
@@ -162,7 +162,7 @@
             Self::Late => "late",
             Self::Room => "room",
             Self::Unhealthy => "unhealthy",
-            Self::OtherLife => "other_life",
+            Self::OtherIncarnation => "other_incarnation",
         }
     }
 }
@@ -177,7 +177,7 @@
     /// it answered what has no meaning: {0}
     Malformed(String),
     /// another life of it answered
-    OtherLife,
+    OtherIncarnation,
 }
 
 impl std::error::Error for RunnerError {}
