--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -267,3 +267,19 @@
         }
     }
 }
+
+/// See KNOWN-RED.txt: the second entry does not know of the first one's
+/// write, and says "not run" of a job that then runs.
+#[test]
+fn a_job_that_another_entry_may_have_written_is_not_called_not_run() {
+    let site = site(2, 1);
+    let work = job(1, 1, 100, false);
+    site.entries[0].door.faults().late = Some(Duration::from_secs(4));
+    assert_eq!(site.client.submit(site.entry(0), 1, &work).status, 504);
+    site.entries[0].door.faults().late = None;
+    site.entries[1].door.faults().down = Down::Busy;
+    let refused = site.client.submit(site.entry(1), 1, &work).status;
+    site.entries[1].door.faults().down = Down::Up;
+    site.wait_state(0, 1, "done", SOON);
+    assert_eq!(refused, 504, "it was called not run, and ran");
+}
