Let claims stop unpromised work once lost workers leave no other room

If the worker of the only borrower is lost, the rest stands in the way of the guarantee until it ends by itself.

Change: where idle guarantees do not pack, unpromised work that may be repeated becomes borrowed, as far as that helps (coordinator/bands.rs, with the promotion that was in schedule.rs).

Test: each of the three agents is frozen in turn, so one run meets the case for certain.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -22,6 +22,7 @@
 use crate::message::{AgentReport, AgentRequest, JobReport, JobRequest, Run};
 
 pub mod attempts;
+mod bands;
 pub mod cell;
 mod choose;
 mod endings;
--- a/crates/coordination/src/coordinator/guarantee.rs
+++ b/crates/coordination/src/coordinator/guarantee.rs
@@ -295,6 +295,12 @@
             .collect()
     }
 
+    /// Accelerators of all guarantees that are idle.
+    #[must_use]
+    pub fn idle_total(&self) -> u32 {
+        self.instances.iter().flat_map(|i| i.idle.iter()).sum()
+    }
+
     /// Accelerators of a workspace's guarantee that are idle.
     #[must_use]
     pub fn idle(&self, workspace: &str) -> u32 {
--- a/crates/coordination/src/coordinator/schedule.rs
+++ b/crates/coordination/src/coordinator/schedule.rs
@@ -13,9 +13,8 @@
 use figrill_state::job::{Class, Job, JobId, Shape};
 use figrill_state::worker::Capacity;
 
-use crate::message::{Band, Run};
+use crate::message::Band;
 
-use super::cell::Booked;
 use super::guarantee::{Claim, Packed};
 use super::job_state::{Choice, JobState, Phase};
 use super::placement::Placement;
@@ -29,9 +28,6 @@
 /// How long a gang waits before it gets a reservation.
 pub const RESERVE_AFTER: Duration = Duration::from_secs(20);
 
-/// The most borrowers that one tick looks at.
-const PROMOTIONS: usize = 4;
-
 /// Accelerators left for short work while there is none.
 const SPARE: u32 = 2;
 
@@ -88,6 +84,7 @@
             return;
         }
         self.refresh_usable(now);
+        self.demote();
         self.refresh_reservation(now);
         let mut shares = self.shares(now);
         let mut heads = self.queue.heads(DEPTH);
@@ -164,62 +161,6 @@
         self.active.iter().filter_map(|id| self.jobs.get(id))
     }
 
-    /// Makes borrowed work firm where that costs no guarantee any more: it
-    /// then need not be reclaimed later.
-    pub(super) fn promote(&mut self) {
-        let borrowed: Vec<Run> = self
-            .active_jobs()
-            .filter_map(JobState::booking)
-            .filter(|b| b.band == Band::Borrowed)
-            .map(|b| b.run)
-            .take(PROMOTIONS)
-            .collect();
-        for run in borrowed {
-            self.promote_run(run);
-        }
-    }
-
-    fn promote_run(&mut self, run: Run) {
-        let Some(state) = self.jobs.get(&run.job) else {
-            return;
-        };
-        let claim = self.claim_of(state);
-        let needs: Vec<(usize, Capacity)> = self
-            .cell
-            .nodes()
-            .iter()
-            .enumerate()
-            .filter_map(|(i, n)| Some((i, n.runs().get(&run)?.need)))
-            .collect();
-        let before = self.guarantees.pack(&self.cell, &[], None);
-        let shape = state.header.shape;
-        let claimed = claim_size(&shape, claim.as_ref());
-        let own = claim.filter(|claim| {
-            let wanted = before.less(claimed);
-            let packed = self.guarantees.pack(&self.cell, &needs, Some(claim));
-            packed.serves(wanted)
-        });
-        let firm = || {
-            let packed = self.guarantees.pack(&self.cell, &needs, None);
-            packed.serves(before)
-        };
-        let band = match own {
-            Some(claim) => {
-                self.guarantees.claim(run, claim);
-                Band::Own
-            }
-            None if firm() => Band::Unpromised,
-            None => return,
-        };
-        for (i, need) in needs {
-            self.cell.book(i, run, Booked { need, band });
-        }
-        if let Some(state) = self.jobs.get_mut(&run.job) {
-            state.header.band = band;
-            state.set_band(band);
-        }
-    }
-
     /// Whether running work is long: by what was learnt of its kind, or
     /// because it has run for longer than short work does.
     fn is_long_running(
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -92,17 +92,33 @@
     }
 );
 
+/// Of three workers' work only one run is borrowed at first; whichever
+/// worker is lost, the guarantee holds on the other two.
+fn claim_beside_a_frozen_agent(site: &Site, at: usize) {
+    let http = site.entries[0].http.clone();
+    fill(site, &http, 3);
+    site.agents[at].process.freeze();
+    let took = claim(site, &http);
+    site.agents[at].process.thaw();
+    assert!(took < WINDOW, "{took:?}");
+}
+
 site_test!(
     a_guarantee_is_reclaimed_though_a_borrowers_agent_is_frozen,
     { plan().agents(3).settings(GUARANTEE) },
-    |site| {
-        let http = site.entries[0].http.clone();
-        fill(&site, &http, 3);
-        site.agents[0].process.freeze();
-        let took = claim(&site, &http);
-        site.agents[0].process.thaw();
-        assert!(took < WINDOW, "{took:?}");
-    }
+    |site| claim_beside_a_frozen_agent(&site, 0)
+);
+
+site_test!(
+    a_guarantee_is_reclaimed_though_the_second_agent_is_frozen,
+    { plan().agents(3).settings(GUARANTEE) },
+    |site| claim_beside_a_frozen_agent(&site, 1)
+);
+
+site_test!(
+    a_guarantee_is_reclaimed_though_the_third_agent_is_frozen,
+    { plan().agents(3).settings(GUARANTEE) },
+    |site| claim_beside_a_frozen_agent(&site, 2)
 );
 
 site_test!(
