Learn how fast workers are; urgent work goes to the fastest

Change: scheduler/speed.rs compares the progress of tasks of one step and keeps a speed for each worker; a very slow one is a fault that passes. Urgent work is placed on the fastest workers with room, all other work as before, and faulty workers last. Tests: urgent work goes to the worker that proved fast; a slow one is used last and tried again.

A key that the first life leaves in the store now tells, and an entry sends no write of a job before the store has its record. E2013 logs why a refusal was not certain.

--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -10,7 +10,7 @@
 use figrill_state::batch::BatchId;
 
 /// How long after it was sent a write without an answer may still land.
-pub const WRITE_LANDS_WITHIN: Duration = Duration::from_secs(30);
+pub const WRITE_LANDS_WITHIN: Duration = Duration::from_secs(15);
 
 /// Time between two dials of an entry that was not reached.
 const DIAL_AGAIN: Duration = Duration::from_millis(700);
@@ -195,30 +195,29 @@
 }
 
 /// The writes of jobs that this process sent and that may still land.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct UnsettledWrites {
-    /// Until when an earlier life of this process may have sent any write.
+    /// Until when a write that this process does not know of may land.
     unsure_until: Duration,
     /// Writes under way, and whether an earlier one had no answer.
     open: BTreeMap<BatchId, (u32, bool)>,
 }
 
 impl UnsettledWrites {
-    /// Nothing was sent; but where the system does not start for the first
-    /// time, an earlier life of the process may have.
+    /// Nothing was sent; but an earlier life of the process may have.
     #[must_use]
-    pub fn new(now: Duration, first_start: bool) -> Self {
-        let unsure_until = if first_start {
-            Duration::ZERO
-        } else {
-            now + WRITE_LANDS_WITHIN
-        };
+    pub const fn new(now: Duration) -> Self {
         Self {
-            unsure_until,
+            unsure_until: now.saturating_add(WRITE_LANDS_WITHIN),
             open: BTreeMap::new(),
         }
     }
 
+    /// The process has no earlier life.
+    pub fn is_first_life(&mut self) {
+        self.unsure_until = Duration::ZERO;
+    }
+
     /// A write is about to be sent.
     pub fn begin(&mut self, job: BatchId) {
         self.open.entry(job).or_default().0 += 1;
--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -30,6 +30,7 @@
 mod plan;
 mod reclaim;
 mod reports;
+mod speed;
 mod watch;
 mod worker;
 
@@ -90,6 +91,7 @@
     waiting_changed: bool,
     commits: commit::Commits,
     learner: Learner,
+    speeds: speed::Speeds,
     out: Vec<Action>,
 }
 
@@ -110,6 +112,7 @@
             waiting_changed: true,
             commits: commit::Commits::default(),
             learner: Learner::default(),
+            speeds: speed::Speeds::default(),
             out: Vec::new(),
         }
     }
@@ -266,6 +269,7 @@
             .collect();
         for (id, ended_ms) in ended {
             self.jobs.remove(&id);
+            self.speeds.forget(id);
             self.finished.insert(id, ended_ms);
         }
         let old = |at: u64| now.wall_ms > at.saturating_add(KEPT_MS);
--- a/crates/coordination/src/scheduler/place.rs
+++ b/crates/coordination/src/scheduler/place.rs
@@ -8,6 +8,8 @@
 
 use figrill_state::batch::{Resources, Step};
 
+use super::speed::Pace;
+
 /// A worker that may take work, as one pass of planning sees it.
 #[derive(Clone, Debug)]
 pub(super) struct Site {
@@ -18,6 +20,8 @@
     /// What is free, less what this pass has given away or kept.
     pub(super) free: Resources,
     pub(super) capacity: Resources,
+    /// How fast it is.
+    pub(super) pace: Pace,
 }
 
 /// How many tasks go to which site, by the site's place in the list.
@@ -31,6 +35,8 @@
     pub(super) there: &'a BTreeMap<String, u32>,
     /// Agents to be left out.
     pub(super) avoid: &'a [String],
+    /// Whether speed matters more than keeping workers whole.
+    pub(super) hurry: bool,
 }
 
 impl Wish<'_> {
@@ -111,9 +117,10 @@
         near.iter().copied().chain(far).collect()
     }
 
-    /// Fills sites, the tightest first.
+    /// Fills sites: in a hurry the fastest first, otherwise the tightest
+    /// first, and those that seem faulty last.
     fn fill(&self, sites: &[Site], count: u32, rack: Option<&str>) -> Shares {
-        let mut open: Vec<(u64, u64, usize, u32)> = sites
+        let mut open: Vec<(Pace, u64, u64, usize, u32)> = sites
             .iter()
             .enumerate()
             .filter(|(_, site)| rack.is_none_or(|r| site.rack == r))
@@ -121,13 +128,15 @@
                 let fit = self.fitting(site, &site.free).min(count);
                 let used = scaled(&self.step.needs, fit);
                 let left = site.free.minus(&used).accelerators;
-                (fit > 0).then_some((left, site.free.accelerators, i, fit))
+                let pace = self.order(site.pace);
+                let free = site.free.accelerators;
+                (fit > 0).then_some((pace, left, free, i, fit))
             })
             .collect();
         open.sort_unstable();
         let mut left = count;
         let mut shares = Vec::new();
-        for (_, _, site, fit) in open {
+        for (.., site, fit) in open {
             if left == 0 {
                 break;
             }
@@ -138,6 +147,15 @@
         shares
     }
 
+    /// What a site's pace counts for in the order of sites.
+    fn order(&self, pace: Pace) -> Pace {
+        if self.hurry || pace == Pace::Faulty {
+            pace
+        } else {
+            Pace::Usual
+        }
+    }
+
     /// Accelerators that stay free on the workers that are used.
     fn left_behind(&self, sites: &[Site], shares: &Shares) -> u64 {
         let left = |(site, count): &(usize, u32)| {
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -190,6 +190,7 @@
                 labels: upstream.labels.clone(),
                 free: worker.free(),
                 capacity: upstream.capacity,
+                pace: self.speeds.pace(now.steady, agent),
             })
             .collect()
     }
@@ -214,6 +215,7 @@
             step,
             there: &there,
             avoid: &job.avoid,
+            hurry: unit.priority == 0,
         };
         let spread = may_spread(now, unit, &wish, sites);
         let shares = |wish: &Wish| -> Shares {
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -177,6 +177,7 @@
             step,
             there: &there,
             avoid: &[],
+            hurry: unit.priority == 0,
         };
         let waiting: Vec<TaskId> = unit
             .tasks
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -13,6 +13,7 @@
     job::{Phase, Run},
     message::{Grant, Report, ToAgent},
     over_at,
+    speed::Seen,
     worker::Verdict,
 };
 
@@ -283,6 +284,14 @@
             run.percent = running.percent;
             run.moved = now.steady;
         }
+        let seen = Seen {
+            task: running.task,
+            run: running.run,
+            agent,
+            clock_ms,
+            percent: running.percent,
+        };
+        self.speeds.see(now.steady, &seen);
         if !running.checkpoint.is_empty() {
             run.checkpoint.clone_from(&running.checkpoint);
         }
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -206,7 +206,8 @@
         if let Some(why) = batch.problem() {
             return Reply::Malformed(why);
         }
-        let written = if self.catalog.store_up.load(Ordering::Relaxed) {
+        let store_up = self.catalog.store_up.load(Ordering::Relaxed);
+        let written = if store_up && self.mesh.is_registered() {
             self.mesh.begin_write(id);
             let written = stored::create(&*self.kv, &batch, patience);
             self.mesh.end_write(id, sent(written));
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -67,18 +67,20 @@
         let (server, calls) = serve::listen(&runtime, &settings.callers)?;
         let shared = Arc::new(Shared::default());
         let draining = Arc::new(AtomicBool::new(false));
-        let seen = shared.clone();
+        let (mesh, agents) =
+            mesh::start(parts, runtime.handle(), peers, &journal)?;
+        let (seen, known) = (shared.clone(), mesh.clone());
         serve::readiness(
             &runtime,
             &settings.readiness,
             move || {
-                seen.get().is_some() && seen.store_up.load(Ordering::Relaxed)
+                seen.get().is_some()
+                    && seen.store_up.load(Ordering::Relaxed)
+                    && known.is_registered()
             },
             draining.clone(),
         )?;
         serve::metrics(&runtime, &settings.metrics, &journal)?;
-        let (mesh, agents) =
-            mesh::start(parts, runtime.handle(), peers, &journal)?;
         let parts = &EntryParts {
             kv: Arc::new(RelayedKv::new(
                 parts.kv.clone(),
--- a/crates/node/src/fleet/mesh.rs
+++ b/crates/node/src/fleet/mesh.rs
@@ -18,7 +18,8 @@
 use figrill_state::{
     batch::BatchId,
     clock::Clock,
-    event::{Code, Stamp},
+    event::{Code, Note, Stamp},
+    job::JobId,
     kv::{
         KvError,
         call::{Call, Done},
@@ -61,6 +62,8 @@
     numbers: AtomicU64,
     /// Whether the store answers this process itself.
     reaches_store: AtomicBool,
+    /// Whether the store has this process's record.
+    registered: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -69,19 +72,15 @@
 pub(super) struct Mesh(Arc<Shared>);
 
 impl Mesh {
-    fn new(
-        name: &str,
-        first_start: bool,
-        clock: Arc<dyn Clock>,
-        journal: Journal,
-    ) -> Self {
-        let writes = UnsettledWrites::new(clock.now(), first_start);
+    fn new(name: &str, clock: Arc<dyn Clock>, journal: Journal) -> Self {
+        let writes = UnsettledWrites::new(clock.now());
         Self(Arc::new(Shared {
             net: OnceLock::new(),
             clock,
             journal,
             numbers: AtomicU64::new(1),
             reaches_store: AtomicBool::new(true),
+            registered: AtomicBool::new(false),
             state: Mutex::new(State {
                 entries: Entries::new(name),
                 writes,
@@ -104,6 +103,19 @@
         self.0.clock.now()
     }
 
+    /// Whether the store knows of this entry: before that, it sends no
+    /// write of a job, since nobody would ask it for one.
+    pub(super) fn is_registered(&self) -> bool {
+        self.0.registered.load(Ordering::Relaxed)
+    }
+
+    fn set_registered(&self, first_life: bool) {
+        let before = self.0.registered.swap(true, Ordering::Relaxed);
+        if first_life && !before {
+            self.lock().writes.is_first_life();
+        }
+    }
+
     /// A write of a job is about to be sent.
     pub(super) fn begin_write(&self, job: BatchId) {
         self.lock().writes.begin(job);
@@ -121,11 +133,13 @@
         let asked = {
             let mut state = self.lock();
             if state.writes.may_land(now, job) {
+                self.unsure(job, "this entry may have sent it");
                 return true;
             }
             state.entries.to_ask(now)
         };
         let Some(asked) = asked else {
+            self.unsure(job, "another entry cannot be asked");
             return true;
         };
         let question = |number| Message::AskWrite { number, job };
@@ -135,9 +149,20 @@
             .wait(count, ASK_WAIT)
             .filter(|word| matches!(word, Word::WriteMayLand(false)))
             .count();
+        if no < count {
+            let why = format!("{no} of {count} entries rule it out");
+            self.unsure(job, &why);
+        }
         no < count
     }
 
+    fn unsure(&self, job: BatchId, why: &str) {
+        let job = JobId(u128::from(job.0));
+        let detail = format!("why={why}");
+        let note = Note::of_job(Code::WriteUnsettled, job, detail);
+        self.0.journal.note(&note);
+    }
+
     /// Has another entry make a call of the store; `None` if there is none
     /// that could.
     fn call_by_another(
--- a/crates/node/src/fleet/mesh/directory.rs
+++ b/crates/node/src/fleet/mesh/directory.rs
@@ -29,7 +29,10 @@
     let kv = parts.kv.clone();
     let (name, address) =
         (parts.deployment.name.clone(), parts.deployment.peer.clone());
-    let kept = serve::start("record", move || keep(&kv, &name, &address));
+    let kept_by = mesh.clone();
+    let kept = serve::start("record", move || {
+        keep(&kv, &kept_by, &name, &address);
+    });
     let (kv, mesh) = (parts.kv.clone(), mesh.clone());
     let followed = serve::start("entries", move || follow(&kv, &mesh));
     if let Err(e) = kept.and(followed) {
@@ -38,26 +41,40 @@
 }
 
 /// Keeps this entry's record in the store.
-fn keep(kv: &Arc<dyn Kv>, name: &str, address: &str) {
+fn keep(kv: &Arc<dyn Kv>, mesh: &Mesh, name: &str, address: &str) {
     loop {
         match put(&**kv, name, address) {
-            Ok(lease) => renew(&**kv, lease),
+            Ok((lease, first_life)) => {
+                mesh.set_registered(first_life);
+                renew(&**kv, lease);
+            }
             Err(e) => log::debug!("this entry's record is not stored: {e}"),
         }
         thread::sleep(READ_AGAIN);
     }
 }
 
-fn put(kv: &dyn Kv, name: &str, address: &str) -> Result<LeaseId, KvError> {
-    let key = keys::entry(name);
+/// Writes the record. Also says whether no process of this name has ever
+/// written one; if the answer to the write is lost, that is not known again.
+fn put(
+    kv: &dyn Kv,
+    name: &str,
+    address: &str,
+) -> Result<(LeaseId, bool), KvError> {
+    let (key, started) = (keys::entry(name), keys::started(name));
+    let first_life = kv.get(&started, STORE_TIMEOUT)?.is_none();
     let known = kv.get(&key, STORE_TIMEOUT)?;
     let lease = kv.grant(LEASE, STORE_TIMEOUT)?;
-    let txn = Txn {
+    let mut txn = Txn {
         conditions: vec![(key.clone(), known.map_or(0, |i| i.revision))],
         puts: vec![(key, address.as_bytes().to_vec(), Some(lease))],
         removes: Vec::new(),
     };
-    kv.commit(&txn, STORE_TIMEOUT).map(|_| lease)
+    if first_life {
+        txn.conditions.push((started.clone(), 0));
+        txn.puts.push((started, Vec::new(), None));
+    }
+    kv.commit(&txn, STORE_TIMEOUT).map(|_| (lease, first_life))
 }
 
 /// Renews the lease of the record until it is gone.
--- a/crates/node/src/fleet/mesh/hub.rs
+++ b/crates/node/src/fleet/mesh/hub.rs
@@ -47,12 +47,7 @@
     journal: &Journal,
 ) -> Result<(Mesh, Receiver<Event>), StartError> {
     let settings = &parts.deployment;
-    let mesh = Mesh::new(
-        &settings.name,
-        settings.first_start,
-        parts.clock.clone(),
-        journal.clone(),
-    );
+    let mesh = Mesh::new(&settings.name, parts.clock.clone(), journal.clone());
     let (to_lead, of_agents) = bounded(NET_RING);
     let (help, helped) = bounded(HELP_RING);
     for _ in 0..HELPERS {
--- a/crates/state/src/batch.rs
+++ b/crates/state/src/batch.rs
@@ -369,6 +369,8 @@
     pub const AGENTS: &str = "figrill/in/agent/";
     /// Addresses of entries, each under its lease.
     pub const ENTRIES: &str = "figrill/entry/";
+    /// Names of entries that have ever started.
+    pub const STARTED: &str = "figrill/started/";
     /// Progress of jobs.
     pub const PROGRESS: &str = "figrill/out/job/";
     /// The coordinator's last commit.
@@ -392,6 +394,12 @@
         format!("{ENTRIES}{name}")
     }
 
+    /// Stands once an entry of this name has started, for good.
+    #[must_use]
+    pub fn started(name: &str) -> String {
+        format!("{STARTED}{name}")
+    }
+
     /// An agent's address.
     #[must_use]
     pub fn agent(name: &str) -> String {
--- a/crates/state/src/deployment.rs
+++ b/crates/state/src/deployment.rs
@@ -57,13 +57,6 @@
         true,
         "address of the metrics; none if empty",
     ),
-    key(
-        "process",
-        "first_start",
-        Some("false"),
-        false,
-        "true if the whole system starts for the first time",
-    ),
     key(
         "process",
         "log_level",
@@ -110,9 +103,6 @@
     pub peer: String,
     /// Address of the metrics; empty: none.
     pub metrics: String,
-    /// Whether the whole system starts for the first time, so that no
-    /// earlier life of any process has done anything.
-    pub first_start: bool,
     /// How much to log.
     pub log_level: String,
     /// Address of the platform's store.
@@ -175,7 +165,6 @@
             name: at("name"),
             peer: at("peer"),
             metrics: at("metrics"),
-            first_start: at("first_start") == "true",
             log_level: at("log_level"),
             store: at("store"),
             callers: at("callers"),
@@ -205,9 +194,5 @@
     if key.is_address && !address && !empty {
         return Err(format!("{}: write IP:PORT", key.name));
     }
-    let boolean = ["true", "false"].contains(&entry.value.as_str());
-    if key.name == "first_start" && !boolean {
-        return Err(format!("{}: write true or false", key.name));
-    }
     Ok(key)
 }
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -95,6 +95,7 @@
     KeyConflict 2010 Warn "a caller's key came with another body",
     StaleAnswer 2011 Info "the answer of an older attempt was dropped",
     ReclaimStarted 2012 Info "borrowed capacity is being returned to its workspace",
+    WriteUnsettled 2013 Info "the store did not answer for a job, and a write of it may land yet",
     GrantHeld 3001 Debug "an agent holds capacity for a gang",
     GrantRefused 3002 Debug "an agent refused to hold capacity",
     GrantReleased 3003 Debug "an agent released a hold",
