--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -128,7 +128,7 @@
                 role: Role::Agent,
                 name: settings.name.clone(),
                 incarnation: incarnation(),
-                peer: settings.peer.clone(),
+                peer: settings.advertise.clone(),
                 http: String::new(),
                 worker: None,
             };
@@ -140,7 +140,7 @@
         let (kv, name, address) = (
             parts.kv.clone(),
             settings.name.clone(),
-            settings.peer.clone(),
+            settings.advertise.clone(),
         );
         serve::start("register", move || {
             register::keep(&*kv, &name, &address);
--- a/crates/node/src/fleet/mesh/directory.rs
+++ b/crates/node/src/fleet/mesh/directory.rs
@@ -27,8 +27,10 @@
 /// Starts the threads.
 pub(super) fn start(parts: &EntryParts, mesh: &Mesh) {
     let kv = parts.kv.clone();
-    let (name, address) =
-        (parts.deployment.name.clone(), parts.deployment.peer.clone());
+    let (name, address) = (
+        parts.deployment.name.clone(),
+        parts.deployment.advertise.clone(),
+    );
     let kept_by = mesh.clone();
     let kept = serve::start("record", move || {
         keep(&kv, &kept_by, &name, &address);
--- a/crates/node/src/fleet/mesh/hub.rs
+++ b/crates/node/src/fleet/mesh/hub.rs
@@ -63,7 +63,7 @@
             role: Role::Entry,
             name: settings.name.clone(),
             incarnation: incarnation(),
-            peer: settings.peer.clone(),
+            peer: settings.advertise.clone(),
             http: settings.callers.clone(),
             worker: None,
         };
--- a/crates/standin/src/platform/site.rs
+++ b/crates/standin/src/platform/site.rs
@@ -4,7 +4,7 @@
     fs, io,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
     time::Duration,
 };
 
@@ -16,7 +16,10 @@
     store::{self, Endpoint},
     workers::Workers,
 };
-use crate::process::{Process, wait_for};
+use crate::{
+    process::{Process, wait_for},
+    proxy::Proxy,
+};
 
 /// How long a site may take to serve.
 const SERVES_WITHIN: Duration = Duration::from_secs(15);
@@ -36,6 +39,8 @@
     pub door: Endpoint,
     /// An entry's address for callers, an agent's for its upstream.
     pub address: SocketAddr,
+    /// What other processes dial, if the site has proxies.
+    pub streams: Option<Proxy>,
     settings: PathBuf,
 }
 
@@ -54,6 +59,8 @@
     /// Where settings and logs are.
     pub dir: PathBuf,
     program: PathBuf,
+    by_proxies: bool,
+    keep_logs: AtomicBool,
 }
 
 /// Ports for the processes under test: below those that the system gives to
@@ -113,6 +120,33 @@
         program: &Path,
         entries: usize,
         agents: usize,
+    ) -> io::Result<Self> {
+        Self::start_by(program, entries, agents, false)
+    }
+
+    /// The same, with a proxy in front of each process's address for other
+    /// processes.
+    ///
+    /// # Errors
+    ///
+    /// If something can't be started.
+    ///
+    /// # Panics
+    ///
+    /// If it does not serve in time.
+    pub fn start_with_proxies(
+        program: &Path,
+        entries: usize,
+        agents: usize,
+    ) -> io::Result<Self> {
+        Self::start_by(program, entries, agents, true)
+    }
+
+    fn start_by(
+        program: &Path,
+        entries: usize,
+        agents: usize,
+        by_proxies: bool,
     ) -> io::Result<Self> {
         let number = SITES.fetch_add(1, Ordering::Relaxed);
         let name = format!("figrill-site-{}-{number}", std::process::id());
@@ -126,6 +160,8 @@
             client: Client::new(KEY),
             dir,
             program: program.to_owned(),
+            by_proxies,
+            keep_logs: AtomicBool::new(false),
         };
         site.configure(&configuration(1, &[KEY]));
         for i in 0..entries {
@@ -164,8 +200,15 @@
         } else {
             format!("upstream = {address}\n")
         };
+        let streams = if self.by_proxies {
+            Some(Proxy::start(Some(peer))?)
+        } else {
+            None
+        };
+        let advertise = streams.as_ref().map_or(peer, |p| p.address);
         let text = format!(
-            "[process]\nname = {name}\npeer = {peer}\nlog_level = debug\n\
+            "[process]\nname = {name}\npeer = {peer}\n\
+             advertise = {advertise}\nlog_level = debug\n\
              [platform]\nstore = {}\n{own}",
             door.address
         );
@@ -177,6 +220,7 @@
             process,
             door,
             address,
+            streams,
             settings,
         })
     }
@@ -285,6 +329,11 @@
         pool.trace.iter().filter(|l| l.contains(&word)).count()
     }
 
+    /// Leaves settings and logs where they are when the site ends.
+    pub fn keep_logs(&self) {
+        self.keep_logs.store(true, Ordering::Relaxed);
+    }
+
     /// Fails if an upstream saw what no promise allows.
     ///
     /// # Panics
@@ -298,7 +347,8 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        if !std::thread::panicking() {
+        let keep = self.keep_logs.load(Ordering::Relaxed);
+        if !keep && !std::thread::panicking() {
             let _ = fs::remove_dir_all(&self.dir);
         }
     }
--- a/crates/state/src/deployment.rs
+++ b/crates/state/src/deployment.rs
@@ -50,6 +50,13 @@
         true,
         "address for the system's own processes",
     ),
+    key(
+        "process",
+        "advertise",
+        Some(""),
+        true,
+        "address that other processes dial, if not `peer`",
+    ),
     key(
         "process",
         "metrics",
@@ -101,6 +108,8 @@
     pub name: String,
     /// Address for the system's own processes.
     pub peer: String,
+    /// Address that the system's other processes dial.
+    pub advertise: String,
     /// Address of the metrics; empty: none.
     pub metrics: String,
     /// How much to log.
@@ -161,9 +170,12 @@
                     String::new()
                 })
         };
+        let peer = at("peer");
+        let advertise = Some(at("advertise")).filter(|a| !a.is_empty());
         let deployment = Self {
             name: at("name"),
-            peer: at("peer"),
+            advertise: advertise.unwrap_or_else(|| peer.clone()),
+            peer,
             metrics: at("metrics"),
             log_level: at("log_level"),
             store: at("store"),
