--- a/crates/core/commands/dev.rs
+++ b/crates/core/commands/dev.rs
@@ -20,9 +20,9 @@
     boot::Boot,
     clock::{Clock, SystemClock},
     digest,
+    kv::{Kv, memory::MemoryKv},
     ledger::{self, Change},
     request::Submit,
-    store::{Store, memory::MemoryStore},
     worker::{Capacity, Place as WorkerPlace},
 };
 use figrill_transport::auth::Secret;
@@ -74,7 +74,7 @@
         .map_err(|e| CommandError::Usage(format!("{file}: {e}")))?;
     let token = format!("{:032x}", rand::random::<u128>());
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
-    let store = Arc::new(MemoryStore::new(clock.clone()));
+    let store = Arc::new(MemoryKv::new(clock.clone()));
     put_settings(store.as_ref(), &submit, &token)?;
     let secret = format!("{:032x}", rand::random::<u128>());
     let Some(secret) = Secret::from_file(&secret) else {
@@ -127,7 +127,7 @@
 
 /// Settings with the job's workspace and a token of its own.
 fn put_settings(
-    store: &dyn Store,
+    kv: &dyn Kv,
     submit: &Submit,
     token: &str,
 ) -> Result<(), CommandError> {
@@ -143,7 +143,7 @@
         by: "dev",
         at_s: 0,
     };
-    ledger::apply(store, &change).map_err(failed).map(|_| ())
+    ledger::apply(kv, &change).map_err(failed).map(|_| ())
 }
 
 fn wait_ready(client: &Client, workers: u32) -> Result<(), CommandError> {
--- a/crates/core/commands/role.rs
+++ b/crates/core/commands/role.rs
@@ -7,12 +7,13 @@
     config::Config,
     entry::EntryProcess,
 };
+use figrill_platform::store::PlatformStore;
 use figrill_state::{
     boot::Boot,
     clock::SystemClock,
     deployment::{self, Deployment},
 };
-use figrill_transport::{auth::Secret, store_client::StoreClient};
+use figrill_transport::auth::Secret;
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
@@ -118,6 +119,9 @@
              http://10.0.0.1:2000"
         )));
     }
+    let address = boot.store.trim_end_matches('/');
+    let address = address.strip_prefix("http://").unwrap_or(address);
+    let address = address.to_owned();
     let secret = read_file(&boot.peer_secret_file)?;
     let secret = Secret::from_file(&secret).ok_or_else(|| {
         CommandError::Usage(format!(
@@ -126,7 +130,7 @@
         ))
     })?;
     Ok(Config {
-        store: Arc::new(StoreClient::new(&boot.store)),
+        store: Arc::new(PlatformStore::new(&address)),
         boot,
         secret,
         clock: Arc::new(SystemClock::new()),
--- a/crates/node/src/agent/discover.rs
+++ b/crates/node/src/agent/discover.rs
@@ -4,9 +4,9 @@
 
 use crossbeam::channel::Sender;
 use figrill_state::{
+    kv::Kv,
     ledger,
     record::{ENTRIES, EntriesRecord},
-    store::Store,
 };
 
 use super::duty::Command;
@@ -20,7 +20,7 @@
 
 /// Starts the thread; it ends with its ring.
 pub(super) fn start(
-    store: Arc<dyn Store>,
+    store: Arc<dyn Kv>,
     commands: Sender<Command>,
 ) -> io::Result<()> {
     crate::config::spawn_detached("discover", move || {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,7 +3,7 @@
 use std::{io, sync::Arc, thread, time::Duration};
 
 use displaydoc::Display;
-use figrill_state::{boot::Boot, clock::Clock, store::Store};
+use figrill_state::{boot::Boot, clock::Clock, kv::Kv};
 use figrill_transport::auth::Secret;
 
 /// What a process is started with.
@@ -14,7 +14,7 @@
     /// The secret that all processes share.
     pub secret: Secret,
     /// The platform's store.
-    pub store: Arc<dyn Store>,
+    pub store: Arc<dyn Kv>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -159,4 +159,4 @@
         .map_err(StartError::Thread)
 }
 
-type SharedStore = Arc<dyn figrill_state::store::Store>;
+type SharedStore = Arc<dyn figrill_state::kv::Kv>;
--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -18,11 +18,11 @@
 use figrill_state::clock::Clock;
 use figrill_state::error::Kind;
 use figrill_state::event::Code;
+use figrill_state::kv::LeaseId;
 use figrill_state::record::{
     EntriesRecord, EntryAddress, SettingsRecord, TermRecord,
 };
 use figrill_state::settings::Tree;
-use figrill_state::store::LeaseId;
 use figrill_transport::http::{Responder, Server};
 use figrill_transport::peer::{Event as NetEvent, Net};
 
--- a/crates/node/src/entry/store_calls.rs
+++ b/crates/node/src/entry/store_calls.rs
@@ -20,12 +20,12 @@
 use figrill_state::{
     clock::Clock,
     job::{Attempt, JobId, Outcome},
+    kv::{KvError, LeaseId},
     ledger::{self, ApplyError, Change, Claim, Claimed, Term},
     record::{
         self, EntriesRecord, EntryAddress, JobRecord, Progress,
         SettingsRecord, TermRecord,
     },
-    store::{LeaseId, StoreError},
 };
 use figrill_transport::http::Responder;
 
@@ -34,6 +34,9 @@
 use super::SharedStore;
 use crate::config::spawn_detached;
 
+/// How long a call for the lease may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// How long a watch for new settings waits at the store.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
@@ -206,7 +209,7 @@
 
     /// What the caller is told if the store does not answer.
     fn unanswered(self) -> Option<StoreDone> {
-        let down = || StoreError::Unavailable("the ring is full".to_owned());
+        let down = || KvError::Refused("the ring is full".to_owned());
         Some(match self {
             Self::TakeTerm => StoreDone::Taken(Err(TakeError::Unavailable)),
             Self::Renew(_) => StoreDone::Renewed(Err(RenewError::Unavailable)),
@@ -262,14 +265,18 @@
                 (Some(StoreDone::Taken(result)), ok)
             }
             StoreCall::Renew(lease) => {
-                let result = store.renew(lease).map_err(|e| match e {
-                    StoreError::LeaseGone => RenewError::Gone,
-                    _ => RenewError::Unavailable,
-                });
+                let result =
+                    store.renew(lease, CALL_TIMEOUT).map_err(|e| match e {
+                        KvError::LeaseGone => RenewError::Gone,
+                        _ => RenewError::Unavailable,
+                    });
                 let ok = result != Err(RenewError::Unavailable);
                 (Some(StoreDone::Renewed(result)), ok)
             }
-            StoreCall::Release(lease) => (None, store.revoke(lease).is_ok()),
+            StoreCall::Release(lease) => {
+                let ok = store.revoke(lease, CALL_TIMEOUT).is_ok();
+                (None, ok)
+            }
             StoreCall::Claim {
                 job,
                 workspace,
@@ -400,18 +407,18 @@
             ledger::mark(self.store.as_ref(), run.job, version, progress);
         match marked {
             Ok(version) => Ok(version),
-            Err(StoreError::Conflict(Some(found))) => {
+            Err(KvError::Conflict(items)) => {
+                let found = items.first().ok_or(MarkError::Conflict)?;
                 let record: Option<JobRecord> = record::decode(&found.value);
-                Err(conflict(record, found.version))
+                Err(conflict(record, found.revision))
             }
-            Err(StoreError::Conflict(None)) => Err(MarkError::Conflict),
             Err(_) => Err(MarkError::Unavailable),
         }
     }
 
     /// Puts this entry into the list of entries, in place of any former
     /// life of it.
-    fn register(&self) -> Result<EntriesRecord, StoreError> {
+    fn register(&self) -> Result<EntriesRecord, KvError> {
         ledger::change_entries(self.store.as_ref(), |entries| {
             if entries.contains(&self.me) {
                 return;
@@ -428,13 +435,14 @@
         let mut version = 0;
         let mut known = 0;
         loop {
+            let store = self.store.as_ref();
             let found =
-                self.store.watch(record::SETTINGS, version, WATCH_WAIT);
+                ledger::changed(store, record::SETTINGS, version, WATCH_WAIT);
             let result = if found.is_ok() { "ok" } else { "failed" };
             self.metrics.call("watch", result);
             match found {
                 Ok(Some(found)) => {
-                    version = found.version;
+                    version = found.revision;
                     let record: Option<SettingsRecord> =
                         record::decode(&found.value);
                     let newer = record.filter(|r| {
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -16,8 +16,7 @@
 use figrill_state::{
     batch::{Batch, keys},
     event::{Code, Stamp},
-    kv::{Kv, KvError, Txn},
-    store::LeaseId,
+    kv::{Kv, KvError, LeaseId, Txn},
 };
 use figrill_transport::peer::{ConnId, Event, Net};
 
--- a/crates/node/src/fleet/mesh/directory.rs
+++ b/crates/node/src/fleet/mesh/directory.rs
@@ -5,8 +5,7 @@
 
 use figrill_state::{
     batch::keys,
-    kv::{Change, Kv, KvError, Txn},
-    store::LeaseId,
+    kv::{Change, Kv, KvError, LeaseId, Txn},
 };
 
 use super::Mesh;
--- a/crates/node/src/fleet/mesh/relay.rs
+++ b/crates/node/src/fleet/mesh/relay.rs
@@ -9,10 +9,9 @@
 use figrill_state::{
     clock::Clock,
     kv::{
-        Changes, Item, Kv, KvError, Listing, Txn,
+        Changes, Item, Kv, KvError, LeaseId, Listing, Txn,
         call::{Call, Done},
     },
-    store::LeaseId,
 };
 
 use super::Mesh;
--- a/crates/protocol/src/wire/entry.rs
+++ b/crates/protocol/src/wire/entry.rs
@@ -3,10 +3,7 @@
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
-use figrill_state::{
-    kv::{self, KvError, call},
-    store::LeaseId,
-};
+use figrill_state::kv::{self, KvError, LeaseId, call};
 
 use super::millis;
 
--- a/crates/state/src/kv.rs
+++ b/crates/state/src/kv.rs
@@ -5,11 +5,13 @@
 
 use displaydoc::Display;
 
-use crate::store::LeaseId;
-
 pub mod call;
 pub mod memory;
 
+/// Names a lease of the store.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct LeaseId(pub u64);
+
 /// A value as it stands in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Item {
--- a/crates/state/src/kv/call.rs
+++ b/crates/state/src/kv/call.rs
@@ -3,8 +3,7 @@
 
 use std::time::Duration;
 
-use super::{Changes, Item, Kv, KvError, Listing, Txn};
-use crate::store::LeaseId;
+use super::{Changes, Item, Kv, KvError, LeaseId, Listing, Txn};
 
 /// A call.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/state/src/kv/memory.rs
+++ b/crates/state/src/kv/memory.rs
@@ -6,9 +6,9 @@
     time::Duration,
 };
 
-use crate::{clock::Clock, store::LeaseId};
+use crate::clock::Clock;
 
-use super::{Change, Changes, Item, Kv, KvError, Listing, Txn};
+use super::{Change, Changes, Item, Kv, KvError, LeaseId, Listing, Txn};
 
 /// The most changes that are remembered for watches.
 const HISTORY_MAX: usize = 4096;
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -2,18 +2,23 @@
 //! lost by reading back: a write that turns out to have taken effect counts
 //! as done, however its answer fared.
 
+use std::time::Duration;
+
 use displaydoc::Display;
 
 use crate::{
     error::Kind,
     job::{JobId, Outcome},
+    kv::{Item, Kv, KvError, LeaseId, Txn},
     record::{
         self, ENTRIES, EntriesRecord, EntryAddress, JobRecord, KeyRecord,
         Progress, SETTINGS, SavedOutcome, SettingsRecord, TermRecord,
     },
-    store::{LeaseId, Store, StoreError},
 };
 
+/// How long a call of the store may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Tries of a swap that others may race.
 const TRIES: usize = 8;
 
@@ -30,50 +35,86 @@
 ///
 /// # Errors
 ///
-/// [`StoreError::Unavailable`].
+/// [`KvError::Unanswered`].
 pub fn read<T: serde::de::DeserializeOwned>(
-    store: &dyn Store,
+    kv: &dyn Kv,
     key: &str,
-) -> Result<Read<T>, StoreError> {
-    let found = store.get(key)?;
+) -> Result<Read<T>, KvError> {
+    let found = kv.get(key, CALL_TIMEOUT)?;
     Ok(found.map_or(
         Read {
             version: 0,
             record: None,
         },
-        |v| Read {
-            version: v.version,
-            record: record::decode(&v.value),
+        |i| Read {
+            version: i.revision,
+            record: record::decode(&i.value),
         },
     ))
 }
 
 /// Swaps a record in; a lost answer is settled by reading back.
 fn swap(
-    store: &dyn Store,
+    kv: &dyn Kv,
     key: &str,
     version: u64,
     value: &[u8],
     lease: Option<LeaseId>,
-) -> Result<u64, StoreError> {
-    match store.swap(key, version, value, lease) {
-        Err(StoreError::Unavailable(why)) => match store.get(key)? {
-            Some(v) if v.version > version && v.value == value => {
-                Ok(v.version)
+) -> Result<u64, KvError> {
+    let mut txn = Txn::swap(key, version, value.to_vec());
+    for put in &mut txn.puts {
+        put.2 = lease;
+    }
+    match kv.commit(&txn, CALL_TIMEOUT) {
+        Err(KvError::Unanswered(why)) => match kv.get(key, CALL_TIMEOUT)? {
+            Some(i) if i.revision > version && i.value == value => {
+                Ok(i.revision)
             }
-            Some(v) if v.version != version => {
-                Err(StoreError::Conflict(Some(v)))
+            Some(i) if i.revision != version => {
+                Err(KvError::Conflict(vec![i]))
             }
-            _ => Err(StoreError::Unavailable(why)),
+            _ => Err(KvError::Unanswered(why)),
+        },
+        Err(KvError::Conflict(items)) => match of_key(&items, key) {
+            // A repeated send of a swap that took effect meets its own
+            // result.
+            Some(i) if i.value == value => Ok(i.revision),
+            _ => Err(KvError::Conflict(items)),
         },
-        // A repeated send of a swap that took effect meets its own result.
-        Err(StoreError::Conflict(Some(v))) if v.value == value => {
-            Ok(v.version)
-        }
         other => other,
     }
 }
 
+/// The item of a key among those that a condition met.
+fn of_key<'a>(items: &'a [Item], key: &str) -> Option<&'a Item> {
+    items.iter().find(|i| i.key == key)
+}
+
+/// Waits until a record has another version than `known`, at most `wait`;
+/// then its item, if it has one.
+///
+/// # Errors
+///
+/// [`KvError::Refused`] or [`KvError::Unanswered`].
+pub fn changed(
+    kv: &dyn Kv,
+    key: &str,
+    known: u64,
+    wait: Duration,
+) -> Result<Option<Item>, KvError> {
+    // The listing's revision is where a watch may begin: the record's own
+    // may be older than the store's history.
+    let listing = kv.list(key, CALL_TIMEOUT)?;
+    let item = of_key(&listing.items, key).cloned();
+    if item.as_ref().map_or(0, |i| i.revision) != known {
+        return Ok(item);
+    }
+    match kv.watch(key, listing.revision, wait) {
+        Ok(_) | Err(KvError::Compacted) => kv.get(key, CALL_TIMEOUT),
+        Err(e) => Err(e),
+    }
+}
+
 /// How a claim ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Claimed {
@@ -107,16 +148,13 @@
 ///
 /// # Errors
 ///
-/// [`StoreError::Unavailable`]; nothing was claimed, or the next try of the
+/// [`KvError::Unanswered`]; nothing was claimed, or the next try of the
 /// same job finds what was.
-pub fn claim(
-    store: &dyn Store,
-    claim: &Claim<'_>,
-) -> Result<Claimed, StoreError> {
+pub fn claim(kv: &dyn Kv, claim: &Claim<'_>) -> Result<Claimed, KvError> {
     let body = crate::digest::of_bytes(claim.request.as_bytes());
     if let Some(key) = claim.key {
         let name = record::caller_key(claim.workspace, key);
-        let found: Read<KeyRecord> = read(store, &name)?;
+        let found: Read<KeyRecord> = read(kv, &name)?;
         if let Some(known) = found.record {
             return Ok(compare(&known, &body));
         }
@@ -126,7 +164,7 @@
         request: claim.request.to_owned(),
         progress: Progress::Claimed { entry: claim.entry },
     });
-    let version = swap(store, &record::job_key(claim.job), 0, &job, None)?;
+    let version = swap(kv, &record::job_key(claim.job), 0, &job, None)?;
     let Some(key) = claim.key else {
         return Ok(Claimed::New(version));
     };
@@ -135,12 +173,13 @@
         job: claim.job.to_string(),
         body: body.clone(),
     };
-    match swap(store, &name, 0, &record::encode(&mine), None) {
+    match swap(kv, &name, 0, &record::encode(&mine), None) {
         Ok(_) => Ok(Claimed::New(version)),
-        Err(StoreError::Conflict(Some(v))) => {
-            let known: Option<KeyRecord> = record::decode(&v.value);
+        Err(KvError::Conflict(items)) => {
+            let known: Option<KeyRecord> = of_key(&items, &name)
+                .and_then(|item| record::decode(&item.value));
             let known = known.ok_or_else(|| {
-                StoreError::Unavailable("a key's record is damaged".into())
+                KvError::Unanswered("a key's record is damaged".into())
             })?;
             Ok(compare(&known, &body))
         }
@@ -161,61 +200,62 @@
 ///
 /// # Errors
 ///
-/// [`StoreError::Conflict`] if its record has changed.
+/// [`KvError::Conflict`] if its record has changed.
 pub fn take_over(
-    store: &dyn Store,
+    kv: &dyn Kv,
     job: JobId,
     version: u64,
     record: &JobRecord,
     entry: u64,
-) -> Result<u64, StoreError> {
+) -> Result<u64, KvError> {
     let next = JobRecord {
         progress: Progress::Claimed { entry },
         ..record.clone()
     };
     let key = record::job_key(job);
-    swap(store, &key, version, &record::encode(&next), None)
+    swap(kv, &key, version, &record::encode(&next), None)
 }
 
 /// Marks a job as dispatched, before anything of it can start.
 ///
 /// # Errors
 ///
-/// [`StoreError::Conflict`] if the record has another version.
+/// [`KvError::Conflict`] if the record has another version.
 pub fn mark(
-    store: &dyn Store,
+    kv: &dyn Kv,
     job: JobId,
     version: u64,
     progress: Progress,
-) -> Result<u64, StoreError> {
+) -> Result<u64, KvError> {
     let key = record::job_key(job);
-    let found: Read<JobRecord> = read(store, &key)?;
+    let found: Read<JobRecord> = read(kv, &key)?;
     let Some(record) = found.record else {
-        return Err(StoreError::Conflict(None));
+        return Err(KvError::Conflict(Vec::new()));
     };
     if found.version != version {
         if record.progress == progress {
             return Ok(found.version);
         }
-        return Err(StoreError::Conflict(store.get(&key)?));
+        let item = kv.get(&key, CALL_TIMEOUT)?;
+        return Err(KvError::Conflict(item.into_iter().collect()));
     }
     let next = JobRecord { progress, ..record };
-    swap(store, &key, version, &record::encode(&next), None)
+    swap(kv, &key, version, &record::encode(&next), None)
 }
 
 /// Writes a job's outcome into its record, unless it has one.
 ///
 /// # Errors
 ///
-/// [`StoreError::Unavailable`].
+/// [`KvError::Unanswered`].
 pub fn save(
-    store: &dyn Store,
+    kv: &dyn Kv,
     job: JobId,
     outcome: &Outcome,
-) -> Result<(), StoreError> {
+) -> Result<(), KvError> {
     let key = record::job_key(job);
     for _ in 0..TRIES {
-        let found: Read<JobRecord> = read(store, &key)?;
+        let found: Read<JobRecord> = read(kv, &key)?;
         let Some(record) = found.record else {
             return Ok(());
         };
@@ -230,14 +270,12 @@
             ..record
         };
         let buf = record::encode(&next);
-        match swap(store, &key, found.version, &buf, None) {
-            Err(StoreError::Conflict(_)) => {}
+        match swap(kv, &key, found.version, &buf, None) {
+            Err(KvError::Conflict(_)) => {}
             other => return other.map(|_| ()),
         }
     }
-    Err(StoreError::Unavailable(
-        "the record keeps changing".to_owned(),
-    ))
+    Err(KvError::Unanswered("the record keeps changing".to_owned()))
 }
 
 /// Why settings were not accepted.
@@ -246,7 +284,7 @@
     /// someone else changed the settings: they are at revision {0} now
     Raced(u64),
     /// {0}
-    Store(StoreError),
+    Store(KvError),
 }
 
 impl std::error::Error for ApplyError {}
@@ -284,11 +322,11 @@
 ///
 /// [`ApplyError::Raced`] if the settings are not at the change's base.
 pub fn apply(
-    store: &dyn Store,
+    kv: &dyn Kv,
     change: &Change<'_>,
 ) -> Result<SettingsRecord, ApplyError> {
     let found: Read<SettingsRecord> =
-        read(store, SETTINGS).map_err(ApplyError::Store)?;
+        read(kv, SETTINGS).map_err(ApplyError::Store)?;
     let current = found.record.unwrap_or_default();
     if current.revision > 0 && current.change == change.id {
         return Ok(current);
@@ -301,11 +339,11 @@
     }
     let next = current.next(change.text, change.id, change.by, change.at_s);
     let buf = record::encode(&next);
-    match swap(store, SETTINGS, found.version, &buf, None) {
+    match swap(kv, SETTINGS, found.version, &buf, None) {
         Ok(_) => Ok(next),
-        Err(StoreError::Conflict(now)) => {
-            let now: Option<SettingsRecord> =
-                now.and_then(|v| record::decode(&v.value));
+        Err(KvError::Conflict(items)) => {
+            let now: Option<SettingsRecord> = of_key(&items, SETTINGS)
+                .and_then(|item| record::decode(&item.value));
             Err(ApplyError::Raced(now.map_or(0, |r| r.revision)))
         }
         Err(e) => Err(ApplyError::Store(e)),
@@ -327,19 +365,19 @@
 ///
 /// # Errors
 ///
-/// [`StoreError::Unavailable`].
+/// [`KvError::Unanswered`].
 pub fn take_term(
-    store: &dyn Store,
+    kv: &dyn Kv,
     cell: &str,
     me: &TermRecord,
-    ttl: std::time::Duration,
+    ttl: Duration,
     bid_bits: u32,
-) -> Result<Term, StoreError> {
+) -> Result<Term, KvError> {
     let key = record::term_key(cell);
     let lease_key = format!("{key}/lease");
     let mine = record::encode(&me.incarnation);
-    let holder = store.get(&lease_key)?;
-    let current: Read<TermRecord> = read(store, &key)?;
+    let holder = kv.get(&lease_key, CALL_TIMEOUT)?;
+    let current: Read<TermRecord> = read(kv, &key)?;
     if let Some(holder) = holder {
         let holder: Option<u64> = record::decode(&holder.value);
         return Ok(match current.record {
@@ -347,11 +385,11 @@
             _ => Term::Busy,
         });
     }
-    let lease = store.grant(ttl)?;
-    match swap(store, &lease_key, 0, &mine, Some(lease)) {
+    let lease = kv.grant(ttl, CALL_TIMEOUT)?;
+    match swap(kv, &lease_key, 0, &mine, Some(lease)) {
         Ok(_) => {}
-        Err(StoreError::Conflict(_)) => {
-            store.revoke(lease)?;
+        Err(KvError::Conflict(_)) => {
+            kv.revoke(lease, CALL_TIMEOUT)?;
             return Ok(Term::Busy);
         }
         Err(e) => return Err(e),
@@ -362,10 +400,10 @@
         ..me.clone()
     };
     let buf = record::encode(&next);
-    match swap(store, &key, current.version, &buf, None) {
+    match swap(kv, &key, current.version, &buf, None) {
         Ok(_) => Ok(Term::Taken(next, lease)),
-        Err(StoreError::Conflict(_)) => {
-            store.revoke(lease)?;
+        Err(KvError::Conflict(_)) => {
+            kv.revoke(lease, CALL_TIMEOUT)?;
             Ok(Term::Busy)
         }
         Err(e) => Err(e),
@@ -376,13 +414,13 @@
 ///
 /// # Errors
 ///
-/// [`StoreError::Unavailable`].
+/// [`KvError::Unanswered`].
 pub fn change_entries(
-    store: &dyn Store,
+    kv: &dyn Kv,
     change: impl Fn(&mut Vec<EntryAddress>),
-) -> Result<EntriesRecord, StoreError> {
+) -> Result<EntriesRecord, KvError> {
     for _ in 0..TRIES {
-        let found: Read<EntriesRecord> = read(store, ENTRIES)?;
+        let found: Read<EntriesRecord> = read(kv, ENTRIES)?;
         let current = found.record.unwrap_or_default();
         let mut next = current.clone();
         change(&mut next.entries);
@@ -390,13 +428,11 @@
             return Ok(current);
         }
         let buf = record::encode(&next);
-        match swap(store, ENTRIES, found.version, &buf, None) {
+        match swap(kv, ENTRIES, found.version, &buf, None) {
             Ok(_) => return Ok(next),
-            Err(StoreError::Conflict(_)) => {}
+            Err(KvError::Conflict(_)) => {}
             Err(e) => return Err(e),
         }
     }
-    Err(StoreError::Unavailable(
-        "the entries keep changing".to_owned(),
-    ))
+    Err(KvError::Unanswered("the entries keep changing".to_owned()))
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -26,6 +26,5 @@
 pub mod request;
 pub mod runner;
 pub mod settings;
-pub mod store;
 pub mod upstream;
 pub mod worker;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod http;
 pub mod peer;
 pub mod runtime;
-pub mod store_client;
 pub mod upstream_client;
 
 mod stream;
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that submit, ask and cancel, and remember what they were told.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard, PoisonError,
@@ -20,21 +20,36 @@
 /// The most tries of one request.
 const TRIES: usize = 5;
 
-/// What a caller was told of a job.
-#[derive(Clone, Debug, Default)]
-pub struct Told {
+/// What may be told of a job, or was done to it.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Word {
     /// It was accepted.
-    pub accepted: bool,
+    Accepted,
     /// Some try had no answer, or one that leaves it open.
-    pub open: bool,
+    Open,
     /// It was refused at least once.
-    pub refused: bool,
+    Refused,
     /// A cancel was sent.
-    pub cancel_sent: bool,
+    CancelSent,
+}
+
+/// What a caller knows of a job.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    /// What it was told.
+    pub words: BTreeSet<Word>,
     /// Its state, once that is final.
     pub ended: Option<String>,
 }
 
+impl Told {
+    /// Whether a word was told.
+    #[must_use]
+    pub fn has(&self, word: Word) -> bool {
+        self.words.contains(&word)
+    }
+}
+
 /// What all callers were told, and what of it breaks a promise.
 #[derive(Debug, Default)]
 pub struct Records {
@@ -50,10 +65,10 @@
         let Some(told) = self.jobs.get_mut(&id) else {
             return;
         };
-        if state == "410" && told.accepted {
+        if state == "410" && told.has(Word::Accepted) {
             self.broken.push(format!("{id:x}: accepted, then 410"));
         }
-        if state == "canceled" && !told.cancel_sent {
+        if state == "canceled" && !told.has(Word::CancelSent) {
             self.broken.push(format!("{id:x}: cancelled by nobody"));
         }
         let is_final = ["done", "failed", "canceled"].contains(&state);
@@ -103,7 +118,7 @@
             let id = ((number + 1) << 32) | count;
             count += 1;
             self.one(client, &mut rng, id);
-            thread::sleep(Duration::from_millis(rng.random_range(20..400)));
+            thread::sleep(Duration::from_millis(rng.random_range(150..900)));
         }
     }
 
@@ -126,23 +141,26 @@
             let answer = client.call("POST", entry, &path, Some(&work));
             let mut records = self.records();
             let told = records.jobs.entry(id).or_default();
-            match answer.status {
-                200 => told.accepted = true,
-                429 | 503 => told.refused = true,
-                _ => told.open = true,
-            }
-            if told.accepted {
+            told.words.insert(match answer.status {
+                200 => Word::Accepted,
+                429 | 503 => Word::Refused,
+                _ => Word::Open,
+            });
+            if told.has(Word::Accepted) {
                 break;
             }
             drop(records);
             thread::sleep(Duration::from_millis(rng.random_range(50..500)));
         }
         if rng.random_bool(0.15) {
-            self.records().jobs.entry(id).or_default().cancel_sent = true;
+            let mut records = self.records();
+            let told = records.jobs.entry(id).or_default();
+            told.words.insert(Word::CancelSent);
+            drop(records);
             let _ = client.cancel(self.entry(rng), id);
         }
         // What was told before the question was asked must hold.
-        let accepted = self.records().jobs[&id].accepted;
+        let accepted = self.records().jobs[&id].has(Word::Accepted);
         let state = client.state(self.entry(rng), id);
         if accepted {
             self.records().see(id, &state);
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -12,7 +12,10 @@
     site::Site,
 };
 
-use crate::{callers::Desk, faults::Leaving};
+use crate::{
+    callers::{Desk, Word},
+    faults::Leaving,
+};
 
 /// Each entry serves again within this.
 const SERVES_WITHIN: Duration = Duration::from_secs(15);
@@ -48,7 +51,10 @@
 pub fn all_end(site: &Site, desk: &Desk) {
     let open: Vec<u64> = {
         let records = desk.records();
-        let accepted = records.jobs.iter().filter(|(_, told)| told.accepted);
+        let accepted = records
+            .jobs
+            .iter()
+            .filter(|(_, told)| told.has(Word::Accepted));
         accepted.map(|(id, _)| *id).collect()
     };
     let begun = Instant::now();
@@ -103,7 +109,10 @@
     let refused: Vec<String> = records
         .jobs
         .iter()
-        .filter(|(_, t)| t.refused && !t.open && !t.accepted)
+        .filter(|(_, t)| {
+            let open = t.has(Word::Open) || t.has(Word::Accepted);
+            t.has(Word::Refused) && !open
+        })
         .map(|(id, _)| format!("{id:016x}."))
         .collect();
     for line in pool.trace.iter().filter(|l| l.contains(" start ")) {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -11,7 +11,7 @@
         site::{Member, Site},
         store::Down,
     },
-    proxy::Way,
+    proxy::{Proxy, Way},
 };
 
 use crate::plan::{Fault, Kind, Target};
@@ -43,7 +43,7 @@
     pub to_ms: u64,
 }
 
-fn member<'a>(site: &'a mut Site, target: Target) -> &'a mut Member {
+fn member(site: &mut Site, target: Target) -> &mut Member {
     match target {
         Target::Entry(i) => &mut site.entries[i],
         Target::Agent(i) => &mut site.agents[i],
@@ -75,7 +75,7 @@
         Kind::SilenceOneWay => {
             with_streams(member, |p| p.silence(Some(Way::Back)));
         }
-        Kind::Cut => with_streams(member, |p| p.cut()),
+        Kind::Cut => with_streams(member, Proxy::cut),
         Kind::Delay => with_streams(member, |p| p.delay(SLOWED)),
         Kind::Reborn => workers.pool().reborn(now_ms, &member.name),
         Kind::Unreachable | Kind::FailsAll | Kind::Slow | Kind::Drain => {
@@ -91,10 +91,7 @@
     }
 }
 
-fn with_streams(
-    member: &Member,
-    change: impl Fn(&figrill_standin::proxy::Proxy),
-) {
+fn with_streams(member: &Member, change: impl Fn(&Proxy)) {
     if let Some(proxy) = &member.streams {
         change(proxy);
     }
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -11,7 +11,7 @@
 use figrill_standin::platform::site::{KEY, Site, configuration};
 
 use crate::{
-    callers::{CALLERS, Desk},
+    callers::{CALLERS, Desk, Word},
     checks,
     faults::{self, Leaving},
     plan::{FAULTS_FOR, Fault, Plan, Size},
@@ -42,8 +42,8 @@
 /// # Errors
 ///
 /// If a process can't be started.
-pub fn play(program: &Path, seed: u64, size: Size) -> io::Result<Report> {
-    let plan = Plan::draw(seed, size);
+pub fn play(program: &Path, seed: u64, large: Size) -> io::Result<Report> {
+    let plan = Plan::draw(seed, large);
     let mut site =
         Site::start_with_proxies(program, plan.entries, plan.agents)?;
     let entries = site.entries.iter().map(|e| e.address).collect();
@@ -66,8 +66,16 @@
     checks::upstreams_saw(&site, &desk, &leaving);
     let records = desk.records();
     broken.extend(records.broken.iter().cloned());
-    let accepted = records.jobs.values().filter(|t| t.accepted).count();
-    let refused = records.jobs.values().filter(|t| t.refused).count();
+    let accepted = records
+        .jobs
+        .values()
+        .filter(|t| t.has(Word::Accepted))
+        .count();
+    let refused = records
+        .jobs
+        .values()
+        .filter(|t| t.has(Word::Refused))
+        .count();
     let logs = site.dir.display().to_string();
     if !broken.is_empty() {
         site.keep_logs();
