Acknowledge no ends of an upstream's next life by the count of the last

A hold names its upstream and not which life of it. One that was sent after the upstream had started again, and before the agent heard of it, carried the count of the earlier life; the next life then forgot ends that nobody had seen, and their tasks ran a second time.

Change: after a failed hold the agent first lists, with no count and no wait, and sends counts again once the life that it knows has answered. The stand-in ends a hold whose life ends, as a crash would.

Test: ends_of_a_later_life_are_not_acknowledged_by_the_count_before; on the code before, a task starts though it is done.

--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -9,8 +9,9 @@
 
 use figrill_state::batch::BatchId;
 
-/// How long after it was sent a write without an answer may still land.
-pub const WRITE_LANDS_WITHIN: Duration = Duration::from_secs(15);
+/// How long after it was sent a write without an answer may still land. The
+/// platform speaks of seconds, and of six in its list of troubles.
+pub const WRITE_LANDS_WITHIN: Duration = Duration::from_secs(10);
 
 /// Time between two dials of an entry that was not reached.
 const DIAL_AGAIN: Duration = Duration::from_millis(700);
@@ -173,7 +174,7 @@
     pub fn to_ask(&mut self, now: Duration) -> Option<Vec<L>> {
         self.known.retain(|_, known| {
             let over = known.removed.map(|at| at + WRITE_LANDS_WITHIN);
-            over.is_none_or(|at| now < at)
+            known.link.is_some() || over.is_none_or(|at| now < at)
         });
         if !self.listed {
             return None;
@@ -244,6 +245,12 @@
         }
     }
 
+    /// Whether nothing is under way and nothing had no answer.
+    #[must_use]
+    pub fn is_settled(&self, now: Duration) -> bool {
+        now >= self.unsure_until && self.open.is_empty()
+    }
+
     /// Whether a write of this job may still land.
     #[must_use]
     pub fn may_land(&self, now: Duration, job: BatchId) -> bool {
--- a/crates/coordination/tests/entries.rs
+++ b/crates/coordination/tests/entries.rs
@@ -49,6 +49,9 @@
     // An entry that the store does not name yet may dial first.
     entries.link(over, "z", "z:1", 9);
     assert_eq!(entries.to_ask(over), Some(vec![9]));
+    // One that the store has forgotten is asked for as long as it is there.
+    entries.list(over, &named(&["a"]));
+    assert_eq!(entries.to_ask(over + at(60)), Some(vec![9]));
 }
 
 #[test]
--- a/crates/node/src/fleet/agent/hold.rs
+++ b/crates/node/src/fleet/agent/hold.rs
@@ -33,6 +33,10 @@
 /// Extends what runs as far as it was granted, and reports what is there.
 pub(super) fn hold_for_good(cx: &AgentContext, net: &Net) {
     let mut busy = false;
+    // Whether the life that was told of the last acknowledgements still
+    // answers. A call names the upstream and not which life of it, and ends
+    // of a later life must not be acknowledged by the count of this one.
+    let mut known: Option<Incarnation> = None;
     let mut refused_since = None;
     loop {
         let (upstream, grant) = {
@@ -44,7 +48,8 @@
             wait(cx, BEAT);
             continue;
         };
-        let ours = grant.upstream == upstream.incarnation;
+        let ours = grant.upstream == upstream.incarnation
+            && known.as_ref() == Some(&upstream.incarnation);
         let hold = Hold {
             token: grant.token,
             acknowledged: if ours { grant.acknowledged } else { 0 },
@@ -59,12 +64,16 @@
         match cx.parts.runner.hold(&upstream, hold) {
             Ok(snapshot) => {
                 refused_since = None;
+                let born_ms = upstream.incarnation.born_ms;
+                known = (snapshot.born_ms == born_ms)
+                    .then(|| upstream.incarnation.clone());
                 busy = !snapshot.running.is_empty();
                 let last = snapshot.ended.last().map_or(0, |e| e.number);
                 send_snapshot(cx, net, &upstream, grant.token, snapshot);
                 await_ack(cx, last, &grant);
             }
             Err(e) => {
+                known = None;
                 let now = cx.parts.clock.now();
                 let refused = matches!(e, RunnerError::NotThere(_));
                 let since = refused_since.filter(|_| refused);
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -17,7 +17,7 @@
     callers::CallerService,
     catalog::{self, Shared},
     lead::Lead,
-    mesh::{self, relay::RelayedKv},
+    mesh::{self, Mesh, relay::RelayedKv},
     serve,
 };
 use crate::{
@@ -46,6 +46,8 @@
     draining: Arc<AtomicBool>,
     open: Arc<AtomicUsize>,
     lead: Lead,
+    mesh: Mesh,
+    parts: EntryParts,
     journal: Journal,
 }
 
@@ -108,7 +110,8 @@
         serve::start("catalog", move || {
             catalog::follow(&follower, &kept, &said);
         })?;
-        let lead = Lead::start(parts, shared, mesh, agents, journal.clone())?;
+        let lead =
+            Lead::start(parts, shared, mesh.clone(), agents, journal.clone())?;
         let detail =
             format!("callers={} peer={}", settings.callers, settings.peer);
         journal.say(Code::ProcessStarted, detail);
@@ -118,6 +121,8 @@
             draining,
             open,
             lead,
+            mesh,
+            parts: parts.clone(),
             journal,
         })
     }
@@ -150,6 +155,10 @@
             thread::sleep(LOOK);
             waited += LOOK;
         }
+        if self.is_idle() {
+            let name = &self.parts.deployment.name;
+            self.mesh.leave(&*self.parts.kv, name);
+        }
         self.journal.say(Code::ProcessStopped, "");
         self.runtime.stop();
     }
--- a/crates/node/src/fleet/mesh.rs
+++ b/crates/node/src/fleet/mesh.rs
@@ -21,7 +21,7 @@
     event::{Code, Note, Stamp},
     job::JobId,
     kv::{
-        KvError,
+        Kv, KvError,
         call::{Call, Done},
     },
 };
@@ -64,6 +64,8 @@
     reaches_store: AtomicBool,
     /// Whether the store has this process's record.
     registered: AtomicBool,
+    /// Whether the process ends and takes its record away.
+    leaving: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -81,6 +83,7 @@
             numbers: AtomicU64::new(1),
             reaches_store: AtomicBool::new(true),
             registered: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             state: Mutex::new(State {
                 entries: Entries::new(name),
                 writes,
@@ -116,6 +119,17 @@
         }
     }
 
+    fn is_leaving(&self) -> bool {
+        self.0.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Takes this entry's record away; from then on it sends no write.
+    pub(super) fn leave(&self, kv: &dyn Kv, name: &str) {
+        self.0.leaving.store(true, Ordering::Relaxed);
+        let settled = self.lock().writes.is_settled(self.now());
+        directory::leave(kv, name, settled);
+    }
+
     /// A write of a job is about to be sent.
     pub(super) fn begin_write(&self, job: BatchId) {
         self.lock().writes.begin(job);
--- a/crates/node/src/fleet/mesh/directory.rs
+++ b/crates/node/src/fleet/mesh/directory.rs
@@ -12,10 +12,10 @@
 use crate::fleet::{EntryParts, STORE_TIMEOUT, serve};
 
 /// How long an entry's record outlives it.
-const LEASE: Duration = Duration::from_secs(10);
+const LEASE: Duration = Duration::from_secs(4);
 
 /// Time between two renewals.
-const RENEW: Duration = Duration::from_secs(3);
+const RENEW: Duration = Duration::from_secs(1);
 
 /// How long one watch waits.
 const WATCH: Duration = Duration::from_secs(10);
@@ -43,11 +43,11 @@
 
 /// Keeps this entry's record in the store.
 fn keep(kv: &Arc<dyn Kv>, mesh: &Mesh, name: &str, address: &str) {
-    loop {
+    while !mesh.is_leaving() {
         match put(&**kv, name, address) {
             Ok((lease, first_life)) => {
                 mesh.set_registered(first_life);
-                renew(&**kv, lease);
+                renew(&**kv, mesh, lease);
             }
             Err(e) => log::debug!("this entry's record is not stored: {e}"),
         }
@@ -78,9 +78,24 @@
     kv.commit(&txn, STORE_TIMEOUT).map(|_| (lease, first_life))
 }
 
-/// Renews the lease of the record until it is gone.
-fn renew(kv: &dyn Kv, lease: LeaseId) {
-    loop {
+/// Takes the record away as the process ends. Where no write of its may
+/// land, the next life of its name need not answer for this one.
+pub(super) fn leave(kv: &dyn Kv, name: &str, settled: bool) {
+    let mut txn = Txn {
+        removes: vec![keys::entry(name)],
+        ..Txn::default()
+    };
+    if settled {
+        txn.removes.push(keys::started(name));
+    }
+    if let Err(e) = kv.commit(&txn, STORE_TIMEOUT) {
+        log::debug!("this entry's record was not taken away: {e}");
+    }
+}
+
+/// Renews the lease of the record until it is gone or the process ends.
+fn renew(kv: &dyn Kv, mesh: &Mesh, lease: LeaseId) {
+    while !mesh.is_leaving() {
         thread::sleep(RENEW);
         match kv.renew(lease, STORE_TIMEOUT) {
             Ok(()) => {}
--- a/crates/standin/src/platform/workers.rs
+++ b/crates/standin/src/platform/workers.rs
@@ -198,11 +198,22 @@
         reply(200, &json!({"clock_ms": clock_ms}))
     }
 
+    fn life(&self, name: &str) -> Option<Incarnation> {
+        let pool = self.pool();
+        let node = pool.nodes.get(name);
+        node.map(|n| n.upstream.incarnation.clone())
+    }
+
     fn hold(&self, name: &str, body: &Value) -> Reply {
         let number = |key: &str| body[key].as_u64();
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
         let begun = Instant::now();
+        let life = self.life(name);
         loop {
+            if self.life(name) != life {
+                // The life that this call waited at has ended.
+                return Reply::status(500);
+            }
             let now = self.now_ms();
             let snapshot = self.pool().hold(
                 now,
--- a/tests/platform_failures.rs
+++ b/tests/platform_failures.rs
@@ -83,6 +83,28 @@
     site.assert_sound();
 }
 
+#[test]
+fn ends_of_a_later_life_are_not_acknowledged_by_the_count_before() {
+    let site = site(1, 1);
+    let entry = site.entry(0);
+    for round in 0..6 {
+        // Some ends, so that the count is ahead of the next life's.
+        for i in 1..=4 {
+            let id = round * 10 + i;
+            let answer = site.client.submit(entry, id, &job(1, 1, 20, false));
+            assert_eq!(answer.status, 200);
+            site.wait_state(0, id, "done", SOON);
+        }
+        let id = round * 10 + 9;
+        let answer = site.client.submit(entry, id, &job(1, 1, 60, false));
+        assert_eq!(answer.status, 200);
+        let now = site.workers.now_ms();
+        site.workers.pool().reborn(now, "agent-0");
+        site.wait_state(0, id, "done", SOON);
+        site.assert_sound();
+    }
+}
+
 #[test]
 fn all_processes_killed_at_once_lose_nothing_that_was_accepted() {
     let mut site = site(2, 2);
