--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -118,14 +118,14 @@
         }
     }
 
-    /// A stream has ended.
-    pub fn unlink(&mut self, now: Duration, id: L) {
-        for known in self.known.values_mut() {
-            if known.link.is_some_and(|l| l.id == id) {
-                known.link = None;
-                known.alone_since = now;
-            }
-        }
+    /// A stream has ended; the entry at its other end, if it was its last.
+    pub fn unlink(&mut self, now: Duration, id: L) -> Option<&str> {
+        let mut known = self.known.iter_mut();
+        let (name, known) =
+            known.find(|(_, k)| k.link.is_some_and(|l| l.id == id))?;
+        known.link = None;
+        known.alone_since = now;
+        Some(name)
     }
 
     /// What an entry said of its own way to the store.
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -206,28 +206,32 @@
         if let Some(why) = batch.problem() {
             return Reply::Malformed(why);
         }
-        let store_up = self.catalog.store_up.load(Ordering::Relaxed);
-        let written = if store_up && self.mesh.is_registered() {
-            self.mesh.begin_write(id);
-            let written = stored::create(&*self.kv, &batch, patience);
-            self.mesh.end_write(id, sent(written));
-            written
-        } else {
-            // Known at once, and nothing is written.
-            Written::NotDone
-        };
-        let retry_after_s = self.store_retry_after_s();
-        match written {
+        match self.write(&batch, patience) {
             Written::Stands => Reply::Accepted,
             Written::NotDone | Written::Missing
                 if !self.mesh.write_may_land(id) =>
             {
-                Reply::NotRun { retry_after_s }
+                Reply::NotRun {
+                    retry_after_s: self.store_retry_after_s(),
+                }
             }
             _ => Reply::Unsettled,
         }
     }
 
+    /// Writes a job, unless the store is known to be away: then nothing is
+    /// sent, and the caller hears of it at once.
+    fn write(&self, batch: &Batch, patience: &dyn Patience) -> Written {
+        let store_up = self.catalog.store_up.load(Ordering::Relaxed);
+        if !store_up || !self.mesh.is_registered() {
+            return Written::NotDone;
+        }
+        self.mesh.begin_write(batch.id);
+        let written = stored::create(&*self.kv, batch, patience);
+        self.mesh.end_write(batch.id, sent(written));
+        written
+    }
+
     /// When the store may answer again, in seconds.
     fn store_retry_after_s(&self) -> u32 {
         if self.catalog.store_up.load(Ordering::Relaxed) {
--- a/crates/node/src/fleet/mesh/hub.rs
+++ b/crates/node/src/fleet/mesh/hub.rs
@@ -147,7 +147,7 @@
                 }
             },
             Event::Down { conn, why } => {
-                self.down(conn);
+                self.down(conn, &why);
                 self.pass_on(Event::Down { conn, why });
             }
             other => self.pass_on(other),
@@ -165,10 +165,13 @@
         self.mesh.send(conn, Message::EntryBeat { reaches_store });
     }
 
-    fn down(&self, conn: ConnId) {
+    fn down(&self, conn: ConnId, why: &str) {
         let now = self.mesh.now();
         let mut state = self.mesh.lock();
-        state.entries.unlink(now, conn);
+        if let Some(name) = state.entries.unlink(now, conn) {
+            let detail = format!("peer={name} why={why}");
+            self.mesh.0.journal.say(Code::PeerDown, detail);
+        }
         // Whoever waits for this entry learns at once that it waits in vain.
         state.waiting.retain(|_, waiter| waiter.conn != conn);
     }
--- a/crates/node/src/fleet/mesh/relay.rs
+++ b/crates/node/src/fleet/mesh/relay.rs
@@ -92,6 +92,9 @@
         result
     }
 
+    /// Makes a call directly where that works, else through another entry.
+    /// What the store left open stays open: only a refusal, which says that
+    /// nothing was done, is followed by the other way.
     fn call(&self, call: &Call, timeout: Duration) -> Result<Done, KvError> {
         let was_up = self.failed().is_none();
         let mut refused = None;
