Send counts of ends at once after a list, never with a hold that waits

Change: a count goes out in a hold of its own that does not wait, right after a list of the same life; holds that wait carry none. What is left is the time between a list and its count, some 10 ms, in which an upstream would have to start again, run an order and end it.

--- a/crates/node/src/fleet/agent/hold.rs
+++ b/crates/node/src/fleet/agent/hold.rs
@@ -33,10 +33,12 @@
 /// Extends what runs as far as it was granted, and reports what is there.
 pub(super) fn hold_for_good(cx: &AgentContext, net: &Net) {
     let mut busy = false;
-    // Whether the life that was told of the last acknowledgements still
-    // answers. A call names the upstream and not which life of it, and ends
-    // of a later life must not be acknowledged by the count of this one.
+    // The life that answered the last hold, and what it was told to forget.
+    // A call names the upstream and not which life of it, and ends of a
+    // later life must not be acknowledged by the count of this one: so a
+    // count goes out at once after a list of that life, and never waits.
     let mut known: Option<Incarnation> = None;
+    let mut forgotten = 0;
     let mut refused_since = None;
     loop {
         let (upstream, grant) = {
@@ -50,15 +52,22 @@
         };
         let ours = grant.upstream == upstream.incarnation
             && known.as_ref() == Some(&upstream.incarnation);
+        if known.as_ref() != Some(&upstream.incarnation) {
+            forgotten = 0;
+        }
+        let forget = ours && grant.acknowledged > forgotten;
+        // A coordinator that is new here wants to know at once.
+        let at_once = forget || !ours || grant.deadline_ms.is_none();
         let hold = Hold {
             token: grant.token,
-            acknowledged: if ours { grant.acknowledged } else { 0 },
+            acknowledged: if forget { grant.acknowledged } else { 0 },
             deadline_ms: grant.deadline_ms.filter(|_| ours),
-            // A coordinator that is new here wants to know at once.
-            wait: match (ours && grant.deadline_ms.is_some(), busy) {
-                (false, _) => Duration::ZERO,
-                (true, true) => HOLD_BUSY,
-                (true, false) => HOLD_IDLE,
+            wait: if at_once {
+                Duration::ZERO
+            } else if busy {
+                HOLD_BUSY
+            } else {
+                HOLD_IDLE
             },
         };
         match cx.parts.runner.hold(&upstream, hold) {
@@ -67,6 +76,7 @@
                 let born_ms = upstream.incarnation.born_ms;
                 known = (snapshot.born_ms == born_ms)
                     .then(|| upstream.incarnation.clone());
+                forgotten = forgotten.max(hold.acknowledged);
                 busy = !snapshot.running.is_empty();
                 let last = snapshot.ended.last().map_or(0, |e| e.number);
                 send_snapshot(cx, net, &upstream, grant.token, snapshot);
