--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -96,10 +96,19 @@
 ///
 /// If it can't listen.
 pub fn open(kv: &MemoryKv) -> io::Result<Endpoint> {
+    open_at(kv, "127.0.0.1:0")
+}
+
+/// The same at an address of the caller's choice.
+///
+/// # Errors
+///
+/// If it can't listen.
+pub fn open_at(kv: &MemoryKv, listen: &str) -> io::Result<Endpoint> {
     let faults: Arc<Mutex<Faults>> = Arc::default();
     let seen: Arc<Mutex<Seen>> = Arc::default();
     let (kv, set, noted) = (kv.clone(), faults.clone(), seen.clone());
-    let address = serve("127.0.0.1:0", move |call| {
+    let address = serve(listen, move |call| {
         *lock(&noted).calls.entry(kind(call).to_owned()).or_default() += 1;
         answer(&kv, &set, &noted, call)
     })?;
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -1,11 +1,11 @@
-//! The upstreams' stand-in as a program:
+//! The stand-ins as a program: `standin store LISTEN` and
 //! `standin upstream LISTEN AGENT ACCELERATORS SLOTS MEMORY_MIB`.
 
 use std::{thread, time::Duration};
 
 use figrill_state::worker::Capacity;
 
-use crate::upstream;
+use crate::{platform::store, upstream};
 
 /// Runs a stand-in until the process is ended; its address is the first
 /// line that it prints.
@@ -16,6 +16,10 @@
 pub fn run(args: &[String]) -> Result<(), String> {
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     let address = match words.as_slice() {
+        ["store", listen] => {
+            let store = store::open_at(&store::memory(), listen);
+            store.map_err(|e| e.to_string())?.address
+        }
         ["upstream", listen, agent, accelerators, slots, memory] => {
             let number = |text: &str| {
                 text.parse().map_err(|_| format!("{text} is no number"))
@@ -32,7 +36,7 @@
             upstream::start(options).map_err(|e| e.to_string())?
         }
         _ => {
-            return Err("use: standin upstream LISTEN AGENT ACCELERATORS SLOTS MEMORY_MIB"
+            return Err("use: standin store LISTEN | standin upstream LISTEN AGENT ACCELERATORS SLOTS MEMORY_MIB"
                 .to_owned());
         }
     };
