Ignore late results of earlier runs

Cause: the scheduler applied the result of a start to the current run of its task, whatever run and agent the result was for. A refusal of run 1 that came late (its agent waits a second for each order that is not answered) released run 2, which worked on, and run 3 was placed beside it.

Change: a result counts only for the run and the agent that it names.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -24,7 +24,7 @@
 
 use crate::learn::RunTimeEstimator;
 use job::{Job, Phase, Run};
-use message::{Grant, Report, ToAgent};
+use message::{Grant, Report, StartResult, ToAgent};
 use worker::{RunResult, Worker};
 
 mod commit;
@@ -318,16 +318,19 @@
         &mut self,
         now: Now,
         agent: &str,
-        id: TaskId,
-        outcome: StartOutcome,
+        result: &StartResult,
     ) {
+        let (id, outcome) = (result.task, result.outcome);
         let worker = self.workers.get(agent);
         let last_clock_ms =
             worker.and_then(|w| w.clock).map_or(0, |(ms, _)| ms);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        let Some(run) = job.runs.get_mut(&id) else {
+        // A result that arrives late may be that of an earlier run.
+        let is_current =
+            |r: &&mut Run| r.agent == agent && r.number == result.run;
+        let Some(run) = job.runs.get_mut(&id).filter(is_current) else {
             return;
         };
         match outcome {
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -26,8 +26,8 @@
     report: Report,
 ) {
     scheduler.workers.entry(agent.to_owned()).or_default();
-    for result in report.start_results {
-        scheduler.handle_start_result(now, agent, result.task, result.outcome);
+    for result in &report.start_results {
+        scheduler.handle_start_result(now, agent, result);
     }
     for result in &report.stop_results {
         scheduler.handle_stop_result(agent, result);
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -14,7 +14,7 @@
 use figrill_coordination::scheduler::{Action, Commit, Now, Scheduler};
 use figrill_example::pool::{Node, Pool};
 use figrill_state::batch::{
-    Batch, BatchId, BatchState, Incarnation, Progress, Resources, Step,
+    Batch, BatchId, BatchState, Incarnation, Progress, Resources, Step, TaskId,
 };
 use figrill_state::catalog::Workspace;
 use figrill_state::runner::{StartOutcome, UpstreamState};
@@ -196,6 +196,29 @@
         agent.expect("a run was started").to_owned()
     }
 
+    /// Delivers an agent's result of the start of a job's first task.
+    pub fn report_start_result(
+        &mut self,
+        agent: &str,
+        job: BatchId,
+        run: u32,
+        outcome: StartOutcome,
+    ) {
+        let task = TaskId {
+            job,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let report = Report {
+            start_results: vec![StartResult { task, run, outcome }],
+            ..Report::default()
+        };
+        let now = self.now();
+        self.scheduler.handle_report(now, agent, report);
+        self.send_actions();
+    }
+
     /// Crashes an upstream. Its agent reports at once that the incarnation has
     /// ended.
     pub fn crash(&mut self, agent: &str) {
