Tell the coordinator of accepted jobs at once

Cause: the coordinator learns of jobs by its watch alone. Change: the entry that wrote a job sends its record to the coordinator, whose name each candidate reads from the store anyway. A record older than 10 s is ignored, so that a paused entry cannot bring back a job whose records were removed. The watch stays as it was, so nothing depends on the message. The lease of the coordinator moves to a module of its own. An entry that stops counts its shutdown time from the signal, by the deployment's grace. Test: an_accepted_job_is_placed_although_the_watch_is_late; without the message it times out at 800 ms.

--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -169,6 +169,12 @@
         self.peers.values().filter_map(|p| Some(p.stream?.id))
     }
 
+    /// Returns the open stream to an entry, if there is one.
+    #[must_use]
+    pub fn stream_to(&self, name: &str) -> Option<S> {
+        Some(self.peers.get(name)?.stream?.id)
+    }
+
     /// Returns the addresses of the entries to connect to now, and records
     /// that they are dialled.
     pub fn addresses_to_dial(&mut self, now: Duration) -> Vec<String> {
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -227,7 +227,11 @@
             return Reply::Malformed(why);
         }
         match self.write_job(&batch, deadline) {
-            WriteOutcome::Applied => Reply::Accepted,
+            WriteOutcome::Applied => {
+                self.mesh.announce_job(&batch);
+                Reply::Accepted
+            }
+            WriteOutcome::Existing => Reply::Accepted,
             WriteOutcome::NotApplied | WriteOutcome::NotFound
                 if !self.mesh.may_have_pending_write(id) =>
             {
@@ -270,7 +274,9 @@
 
     fn cancel(&self, id: BatchId, deadline: &dyn Deadline) -> Reply {
         match stored::cancel(&*self.kv, id, deadline) {
-            WriteOutcome::Applied => Reply::CancelAccepted,
+            WriteOutcome::Applied | WriteOutcome::Existing => {
+                Reply::CancelAccepted
+            }
             WriteOutcome::NotFound => Reply::NoSuchJob,
             WriteOutcome::Unknown => Reply::Unsettled,
             WriteOutcome::NotApplied => Reply::TryLater {
@@ -302,7 +308,7 @@
 /// Returns the outcome of a write in the form in which the mesh records it.
 const fn write_result(outcome: WriteOutcome) -> WriteResult {
     match outcome {
-        WriteOutcome::Applied => WriteResult::Stored,
+        WriteOutcome::Applied | WriteOutcome::Existing => WriteResult::Stored,
         WriteOutcome::NotApplied | WriteOutcome::NotFound => {
             WriteResult::NotApplied
         }
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -30,10 +30,9 @@
 /// callers.
 const CALLER_THREADS: usize = 12;
 
-/// The time limit for a stopping entry to finish the requests that it has
-/// read. It includes the [`LAME_DUCK_PERIOD`], but not the time in which the
-/// entry releases the coordinator's lease before that.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(4500);
+/// The part of the deployment's shutdown grace that a stopping entry leaves
+/// for its exit. In the rest it finishes the requests that it has read.
+const EXIT_MARGIN: Duration = Duration::from_millis(700);
 
 /// The interval at which a stopping entry checks for open requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -74,7 +73,7 @@
         let (server, calls) = serve::listen(&runtime, &settings.callers)?;
         let shared_catalog = Arc::new(SharedCatalog::default());
         let draining = Arc::new(AtomicBool::new(false));
-        let (mesh, agent_events) =
+        let (mesh, coordinator_inputs) =
             mesh::start(config, runtime.handle(), peers, &journal)?;
         let (ready_catalog, ready_mesh) =
             (shared_catalog.clone(), mesh.clone());
@@ -120,7 +119,7 @@
             config,
             shared_catalog,
             mesh.clone(),
-            agent_events,
+            coordinator_inputs,
             journal.clone(),
         )?;
         let detail =
@@ -157,16 +156,21 @@
         while !self.draining.load(Ordering::Relaxed) {
             thread::sleep(POLL_INTERVAL);
         }
+        let clock = &self.config.clock;
+        let stopping_since = clock.now();
+        let grace = self.config.deployment.limits.shutdown_grace;
+        let is_in_time = || {
+            let elapsed = clock.now().saturating_sub(stopping_since);
+            elapsed + EXIT_MARGIN < grace
+        };
         self.journal.record_event(Code::ProcessDraining, "");
         // Another entry can become the coordinator as soon as the lease is
         // released.
         self.coordinator.resign();
-        thread::sleep(LAME_DUCK_PERIOD);
+        thread::sleep(LAME_DUCK_PERIOD.min(grace / 2));
         self.server.stop();
-        let mut waited = LAME_DUCK_PERIOD;
-        while waited < DRAIN_TIMEOUT && !self.is_idle() {
+        while is_in_time() && !self.is_idle() {
             thread::sleep(POLL_INTERVAL);
-            waited += POLL_INTERVAL;
         }
         if self.is_idle() {
             let name = &self.config.deployment.name;
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -10,7 +10,7 @@
     collections::BTreeMap,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::Duration,
@@ -22,35 +22,26 @@
 use figrill_state::{
     batch::{Batch, keys},
     event::{Code, Stamp},
-    kv::{Kv, KvError, LeaseId, Txn},
+    kv::KvError,
 };
 use figrill_transport::peer::{ConnId, Event, Net};
 
 use super::{
-    EntryConfig, STORE_RETRY_DELAY, STORE_TIMEOUT, callers::wall_ms,
-    catalog::SharedCatalog, mesh::Mesh, serve,
+    EntryConfig, STORE_RETRY_DELAY,
+    callers::wall_ms,
+    catalog::SharedCatalog,
+    mesh::{CoordinatorInputs, Mesh},
+    serve,
 };
 use crate::{config::StartError, metrics::Journal};
 
 mod calls;
 mod records;
+mod term;
 
 use calls::{start_commits, start_watch};
 use records::StoredState;
-
-/// The time to live of the coordinator's lease.
-const LEASE_TTL: Duration = Duration::from_millis(1800);
-
-/// The interval of lease renewals, and the time limit for each of them.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
-
-/// How much earlier than the store the holder treats its lease as expired, so
-/// that it sends no orders when another process may already hold the lease.
-const LEASE_SAFETY_MARGIN: Duration = Duration::from_millis(200);
-
-/// The maximum wait of a candidate for the lease to be released or to expire
-/// before it reads the key again.
-const CANDIDATE_WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
+use term::{Attempt, CANDIDATE_WATCH_TIMEOUT, LEASE_TTL, Term};
 
 /// The interval of scheduler ticks while there is no input.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -64,6 +55,11 @@
 /// The maximum number of inputs from the store that wait for the scheduler.
 const INPUT_QUEUE_CAPACITY: usize = 1024;
 
+/// The maximum difference between the time in a record of a job that an entry
+/// sends and the time of its arrival. It is far below the time for which the
+/// scheduler remembers jobs that have ended.
+const MAX_JOB_RECORD_AGE: Duration = Duration::from_secs(10);
+
 /// A handle to the `lead` thread, which campaigns and coordinates.
 pub(super) struct CoordinatorHandle {
     stop: Arc<AtomicBool>,
@@ -77,26 +73,15 @@
     catalog: Arc<SharedCatalog>,
     journal: Journal,
     net: Net,
-    /// The events on the streams to agents.
-    events: Receiver<Event>,
+    mesh: Mesh,
+    /// The events on the streams to agents, and the records of jobs that
+    /// entries have just written.
+    inputs: CoordinatorInputs,
     stop: Arc<AtomicBool>,
     /// The open streams to agents, by the name of the agent.
     agents: BTreeMap<String, ConnId>,
 }
 
-/// The state that the threads of one term share.
-struct Term {
-    kv: Arc<dyn Kv>,
-    lease: LeaseId,
-    /// The fencing token.
-    token: u64,
-    /// Set when the lease is lost or the process stops coordinating.
-    ended: AtomicBool,
-    /// The time at which the holder treats its lease as expired, in
-    /// milliseconds of the clock of this process.
-    valid_until_ms: AtomicU64,
-}
-
 /// An input for the scheduler from the threads that call the store.
 enum StoreInput {
     /// The record of a job was written.
@@ -114,7 +99,7 @@
         config: &EntryConfig,
         catalog: Arc<SharedCatalog>,
         mesh: Mesh,
-        events: Receiver<Event>,
+        inputs: CoordinatorInputs,
         journal: Journal,
     ) -> Result<Self, StartError> {
         let stop = Arc::new(AtomicBool::new(false));
@@ -127,7 +112,8 @@
                 catalog,
                 journal,
                 net,
-                events,
+                mesh,
+                inputs,
                 stop: stopping,
                 agents: BTreeMap::new(),
             };
@@ -160,80 +146,52 @@
     /// Campaigns for the lease until the process stops.
     fn campaign(&mut self) {
         while !self.is_stopping() {
-            match self.try_acquire() {
-                Ok(Some(term)) => self.coordinate(&Arc::new(term)),
-                Ok(None) => {}
-                Err(e) => {
-                    log::debug!(
-                        "failed to campaign for the coordinator's lease: {e}"
-                    );
-                    thread::sleep(STORE_RETRY_DELAY);
-                }
+            if let Err(e) = self.try_coordinate() {
+                log::debug!(
+                    "failed to campaign for the coordinator's lease: {e}"
+                );
+                thread::sleep(STORE_RETRY_DELAY);
             }
-            // Only a coordinator acts on the events of agents, so those that
-            // were queued before the next term are dropped.
-            while self.events.try_recv().is_ok() {}
+            // Only a coordinator acts on these inputs, so those that were
+            // queued before the next term are dropped.
+            while self.inputs.events.try_recv().is_ok() {}
+            while self.inputs.job_records.try_recv().is_ok() {}
         }
     }
 
-    /// Acquires the lease if no process holds it. Otherwise waits for a change
-    /// of its key, at most for [`CANDIDATE_WATCH_TIMEOUT`], and returns
-    /// `None`.
-    fn try_acquire(&self) -> Result<Option<Term>, KvError> {
-        let kv = &self.config.kv;
-        let existing = kv.list(keys::COORDINATOR, STORE_TIMEOUT)?;
-        if !existing.items.is_empty() {
-            let after = existing.revision;
-            let changes =
-                kv.watch(keys::COORDINATOR, after, CANDIDATE_WATCH_TIMEOUT);
-            return match changes {
-                Ok(_) | Err(KvError::Compacted) => Ok(None),
-                Err(e) => Err(e),
-            };
-        }
-        let sent_at = self.config.clock.now();
-        let lease = kv.grant(LEASE_TTL, STORE_TIMEOUT)?;
-        let holder = format!(
-            "{} {}",
-            self.config.deployment.name,
-            self.net.local_peer().incarnation
-        );
-        let txn = Txn {
-            conditions: vec![(keys::COORDINATOR.to_owned(), 0)],
-            puts: vec![(
-                keys::COORDINATOR.to_owned(),
-                holder.clone().into_bytes(),
-                Some(lease),
-            )],
-            removes: Vec::new(),
-        };
-        let token = match kv.commit(&txn, STORE_TIMEOUT) {
-            Ok(revision) => revision,
-            // The write may have been applied although its answer was lost.
-            // The record then holds the name and incarnation of this process.
-            Err(KvError::Unanswered(_) | KvError::Conflict(_)) => {
-                let existing = kv.get(keys::COORDINATOR, STORE_TIMEOUT)?;
-                match existing {
-                    Some(i) if i.value == holder.as_bytes() => i.revision,
-                    _ => return Ok(None),
+    /// Coordinates for one term if no process holds the lease. Otherwise waits
+    /// for a change of its record, at most for [`CANDIDATE_WATCH_TIMEOUT`].
+    fn try_coordinate(&mut self) -> Result<(), KvError> {
+        let (kv, clock) = (self.config.kv.clone(), self.config.clock.clone());
+        let name = self.config.deployment.name.clone();
+        let incarnation = self.net.local_peer().incarnation;
+        match Term::acquire(&kv, &clock, &name, incarnation)? {
+            Attempt::Acquired(term) => {
+                self.mesh.set_coordinator(Some(&name));
+                self.coordinate(&Arc::new(term));
+                self.mesh.set_coordinator(None);
+            }
+            Attempt::Held { holder, revision } => {
+                self.mesh.set_coordinator(holder.as_deref());
+                let changes = kv.watch(
+                    keys::COORDINATOR,
+                    revision,
+                    CANDIDATE_WATCH_TIMEOUT,
+                );
+                match changes {
+                    Ok(_) | Err(KvError::Compacted) => {}
+                    Err(e) => return Err(e),
                 }
             }
-            Err(e) => return Err(e),
-        };
-        Ok(Some(Term {
-            kv: kv.clone(),
-            lease,
-            token,
-            ended: AtomicBool::new(false),
-            valid_until_ms: AtomicU64::new(lease_expiry_ms(sent_at)),
-        }))
+        }
+        Ok(())
     }
 
     /// Coordinates until the lease is lost or the process stops.
     fn coordinate(&mut self, term: &Arc<Term>) {
         let detail = format!("token={}", term.token);
         self.journal.record_event(Code::TermGranted, detail);
-        let renewal = self.start_renewal(term.clone());
+        let renewal = Term::start_renewal(term);
         if let Err(e) = renewal.and_then(|()| self.run_scheduler(term)) {
             log::warn!("failed to start as the coordinator: {e}");
         }
@@ -241,47 +199,11 @@
         for (_, conn) in std::mem::take(&mut self.agents) {
             self.net.close(conn);
         }
-        let _ = self.config.kv.revoke(term.lease, STORE_TIMEOUT);
+        term.release();
         let detail = format!("token={}", term.token);
         self.journal.record_event(Code::TermLost, detail);
     }
 
-    /// Starts the thread that renews the lease until the term has ended.
-    fn start_renewal(&self, term: Arc<Term>) -> Result<(), String> {
-        let clock = self.config.clock.clone();
-        serve::spawn("lease", move || {
-            while !term.ended.load(Ordering::Relaxed) {
-                let sent_at = clock.now();
-                match term.kv.renew(term.lease, RENEWAL_INTERVAL) {
-                    Ok(()) => {
-                        term.valid_until_ms.store(
-                            lease_expiry_ms(sent_at),
-                            Ordering::Relaxed,
-                        );
-                        thread::sleep(RENEWAL_INTERVAL);
-                    }
-                    Err(KvError::LeaseNotFound) => {
-                        term.ended.store(true, Ordering::Relaxed);
-                    }
-                    Err(e) => {
-                        log::debug!(
-                            "failed to renew the coordinator's lease: {e}"
-                        );
-                        thread::sleep(STORE_RETRY_DELAY);
-                    }
-                }
-            }
-        })
-        .map_err(|e| e.to_string())
-    }
-
-    /// Returns whether this process may still send orders.
-    fn holds_lease(&self, term: &Term) -> bool {
-        let now = self.config.clock.now().as_millis();
-        let valid_until = term.valid_until_ms.load(Ordering::Relaxed);
-        !term.ended.load(Ordering::Relaxed) && now < u128::from(valid_until)
-    }
-
     /// Reads the records of jobs and agents, and runs the scheduler on them
     /// until the lease is lost or the process stops.
     ///
@@ -294,7 +216,7 @@
         let stored = loop {
             match StoredState::read(&*term.kv) {
                 Ok(stored) => break stored,
-                Err(e) if self.holds_lease(term) => {
+                Err(e) if term.is_valid() => {
                     log::debug!(
                         "failed to read the records of jobs and agents: {e}"
                     );
@@ -328,7 +250,7 @@
         self.journal.record_event(Code::JobAdopted, detail);
         let commits = start_commits(term, stored.ledger_revision, tx.clone())?;
         start_watch(term, stored.revision, tx)?;
-        while !self.is_stopping() && self.holds_lease(term) {
+        while !self.is_stopping() && term.is_valid() {
             self.run_iteration(
                 &mut scheduler,
                 &mut directory,
@@ -354,15 +276,21 @@
             recv(inputs) -> input => if let Ok(input) = input {
                 self.handle_input(scheduler, directory, input);
             },
-            recv(self.events) -> event => if let Ok(event) = event {
+            recv(self.inputs.events) -> event => if let Ok(event) = event {
                 self.handle_event(scheduler, event);
             },
+            recv(self.inputs.job_records) -> batch => if let Ok(batch) = batch {
+                self.handle_job_record(scheduler, batch);
+            },
             default(TICK_INTERVAL) => {},
         }
         while let Ok(input) = inputs.try_recv() {
             self.handle_input(scheduler, directory, input);
         }
-        while let Ok(event) = self.events.try_recv() {
+        while let Ok(batch) = self.inputs.job_records.try_recv() {
+            self.handle_job_record(scheduler, batch);
+        }
+        while let Ok(event) = self.inputs.events.try_recv() {
             self.handle_event(scheduler, event);
         }
         if let Some(catalog) = self.catalog.get() {
@@ -372,7 +300,7 @@
         let actions = scheduler.take_actions();
         // Actions that were decided under a lease that has expired since are
         // not carried out.
-        if !self.holds_lease(term) {
+        if !term.is_valid() {
             return;
         }
         for action in actions {
@@ -428,6 +356,17 @@
         }
     }
 
+    /// Handles the record of a job that an entry has just written. Ignores an
+    /// old one, which an entry may send after a pause: if the job has ended
+    /// meanwhile and its records were removed, it would look like a new one.
+    fn handle_job_record(&self, scheduler: &mut Scheduler, batch: Batch) {
+        let now = self.now();
+        let age_ms = now.wall_ms.abs_diff(batch.accepted_ms);
+        if u128::from(age_ms) <= MAX_JOB_RECORD_AGE.as_millis() {
+            scheduler.update_job(now, batch);
+        }
+    }
+
     fn handle_event(&mut self, scheduler: &mut Scheduler, event: Event) {
         match event {
             Event::Up { conn, peer, .. } => {
@@ -483,13 +422,6 @@
     }
 }
 
-/// Returns the time at which the holder of a lease that was granted or renewed
-/// by a call sent at `sent_at` treats it as expired, in milliseconds.
-fn lease_expiry_ms(sent_at: Duration) -> u64 {
-    let valid_until = sent_at + LEASE_TTL.saturating_sub(LEASE_SAFETY_MARGIN);
-    u64::try_from(valid_until.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// The addresses of agents, and the times of the last dials and heartbeats.
 struct AgentDirectory {
     /// The addresses by the name of the agent.
--- a/crates/node/src/fleet/lead/calls.rs
+++ b/crates/node/src/fleet/lead/calls.rs
@@ -14,7 +14,11 @@
     kv::{Change, KvError, Txn},
 };
 
-use super::{LEASE_TTL, StoreInput, Term, records::decode_input};
+use super::{
+    StoreInput,
+    records::decode_input,
+    term::{LEASE_TTL, Term},
+};
 use crate::fleet::{STORE_RETRY_DELAY, STORE_TIMEOUT, serve};
 
 /// The maximum wait of one watch for changes of jobs and agents.
--- a/crates/node/src/fleet/mesh.rs
+++ b/crates/node/src/fleet/mesh.rs
@@ -19,7 +19,7 @@
 use figrill_coordination::entries::{Entries, UnconfirmedWrites, WriteResult};
 use figrill_protocol::message::Message;
 use figrill_state::{
-    batch::BatchId,
+    batch::{Batch, BatchId, encode},
     clock::Clock,
     event::{Code, NewEvent, Stamp},
     job::JobId,
@@ -36,7 +36,7 @@
 mod hub;
 pub(super) mod relay;
 
-pub(super) use hub::start;
+pub(super) use hub::{CoordinatorInputs, start};
 
 /// The time limit for the other entries to answer whether they may have a
 /// pending write.
@@ -63,6 +63,9 @@
     writes: UnconfirmedWrites,
     /// The waiting threads, by the number of the query.
     waiters: BTreeMap<u64, Waiter>,
+    /// The name of the entry that is the coordinator, as last read from the
+    /// store.
+    coordinator: Option<String>,
 }
 
 struct Inner {
@@ -71,6 +74,8 @@
     net: OnceLock<Net>,
     clock: Arc<dyn Clock>,
     journal: Journal,
+    /// The queue of the local coordinator for the records of accepted jobs.
+    job_records: Sender<Batch>,
     /// The number of the next query to another entry.
     next_number: AtomicU64,
     /// Whether the store answers the direct calls of this process.
@@ -88,12 +93,18 @@
 pub(super) struct Mesh(Arc<Inner>);
 
 impl Mesh {
-    fn new(name: &str, clock: Arc<dyn Clock>, journal: Journal) -> Self {
+    fn new(
+        name: &str,
+        clock: Arc<dyn Clock>,
+        journal: Journal,
+        job_records: Sender<Batch>,
+    ) -> Self {
         let writes = UnconfirmedWrites::new(clock.now());
         Self(Arc::new(Inner {
             net: OnceLock::new(),
             clock,
             journal,
+            job_records,
             next_number: AtomicU64::new(1),
             reaches_store: AtomicBool::new(true),
             registered: AtomicBool::new(false),
@@ -102,6 +113,7 @@
                 entries: Entries::new(name),
                 writes,
                 waiters: BTreeMap::new(),
+                coordinator: None,
             }),
         }))
     }
@@ -150,6 +162,34 @@
         directory::remove_record(kv, name, all_confirmed);
     }
 
+    /// Records which entry is the coordinator.
+    pub(super) fn set_coordinator(&self, name: Option<&str>) {
+        self.lock().coordinator = name.map(str::to_owned);
+    }
+
+    /// Tells the coordinator of a job whose record was written to the store.
+    /// The watch of the store reports the job as well, so nothing is lost if
+    /// the coordinator is unknown or can't be reached.
+    pub(super) fn announce_job(&self, batch: &Batch) {
+        let conn = {
+            let state = self.lock();
+            let coordinator = state.coordinator.as_deref();
+            coordinator.and_then(|name| state.entries.stream_to(name))
+        };
+        match conn {
+            Some(conn) => {
+                self.send(conn, Message::JobRecord(encode(batch)));
+            }
+            None => self.queue_job_record(batch.clone()),
+        }
+    }
+
+    /// Queues the record of a job for the local coordinator. Does nothing if
+    /// the queue is full, as it is while this process does not coordinate.
+    fn queue_job_record(&self, batch: Batch) {
+        let _ = self.0.job_records.try_send(batch);
+    }
+
     /// Records that a write of a job is about to be sent.
     pub(super) fn begin_write(&self, job: BatchId) {
         self.lock().writes.begin(job);
--- a/crates/node/src/fleet/mesh/hub.rs
+++ b/crates/node/src/fleet/mesh/hub.rs
@@ -6,6 +6,7 @@
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use figrill_protocol::message::{Message, Peer, Role};
 use figrill_state::{
+    batch::{Batch, decode},
     event::Code,
     kv::{Kv, KvError, call::Call},
 };
@@ -31,6 +32,18 @@
 /// The maximum number of relayed calls that wait for a thread.
 const RELAY_QUEUE_CAPACITY: usize = 64;
 
+/// The maximum number of records of jobs that wait for the local coordinator.
+const JOB_RECORD_QUEUE_CAPACITY: usize = 256;
+
+/// The queues from which the coordinator of this process gets its inputs,
+/// besides the store.
+pub(in crate::fleet) struct CoordinatorInputs {
+    /// The events on the streams to agents.
+    pub(in crate::fleet) events: Receiver<Event>,
+    /// The records of jobs that entries have just written to the store.
+    pub(in crate::fleet) job_records: Receiver<Batch>,
+}
+
 /// A store call that is made on behalf of another entry.
 struct RelayedCall {
     /// The stream on which the call was received.
@@ -40,17 +53,21 @@
     call: Call,
 }
 
-/// Starts the threads. Returns the mesh, and the queue of events on the
-/// streams to agents.
+/// Starts the threads. Returns the mesh, and the inputs of the coordinator.
 pub(in crate::fleet) fn start(
     config: &EntryConfig,
     handle: Handle,
     peers: std::net::TcpListener,
     journal: &Journal,
-) -> Result<(Mesh, Receiver<Event>), StartError> {
+) -> Result<(Mesh, CoordinatorInputs), StartError> {
     let settings = &config.deployment;
-    let mesh =
-        Mesh::new(&settings.name, config.clock.clone(), journal.clone());
+    let (job_records_tx, job_records) = bounded(JOB_RECORD_QUEUE_CAPACITY);
+    let mesh = Mesh::new(
+        &settings.name,
+        config.clock.clone(),
+        journal.clone(),
+        job_records_tx,
+    );
     let (to_coordinator, agent_events) = bounded(NET_QUEUE_CAPACITY);
     let (relayed_tx, relayed_rx) = bounded(RELAY_QUEUE_CAPACITY);
     for _ in 0..RELAY_THREADS {
@@ -82,7 +99,11 @@
         };
         hub.run(&events);
     })?;
-    Ok((mesh, agent_events))
+    let inputs = CoordinatorInputs {
+        events: agent_events,
+        job_records,
+    };
+    Ok((mesh, inputs))
 }
 
 /// The state of the `hub` thread.
@@ -161,6 +182,12 @@
                         PeerAnswer::Store(result),
                     );
                 }
+                Message::JobRecord(record) => match decode::<Batch>(&record) {
+                    Ok(batch) => self.mesh.queue_job_record(batch),
+                    Err(e) => {
+                        log::warn!("malformed record of a job: {e}");
+                    }
+                },
                 message => {
                     let frame =
                         figrill_protocol::message::Frame { message, ..frame };
--- a/crates/node/src/fleet/stored.rs
+++ b/crates/node/src/fleet/stored.rs
@@ -13,9 +13,11 @@
 /// The outcome of a write, after all its attempts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum WriteOutcome {
-    /// The record of the job is written or marked as cancelled, by this write
-    /// or by an earlier one.
+    /// The record of the job is written or marked as cancelled.
     Applied,
+    /// A record of the job existed before: an earlier attempt or submission
+    /// has written it.
+    Existing,
     /// The record to change does not exist.
     NotFound,
     /// No attempt was applied, and none will be.
@@ -64,9 +66,10 @@
             break;
         }
         match kv.commit(&txn, timeout) {
-            // A conflict means that an earlier attempt, or an earlier
-            // submission of the same job, has written the record.
-            Ok(_) | Err(KvError::Conflict(_)) => return WriteOutcome::Applied,
+            Ok(_) => return WriteOutcome::Applied,
+            // An earlier attempt, or an earlier submission of the same job,
+            // has written the record.
+            Err(KvError::Conflict(_)) => return WriteOutcome::Existing,
             Err(KvError::Unanswered(_)) => uncertain = true,
             Err(e) => log::debug!("failed to store a job: {e}"),
         }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -186,4 +186,8 @@
         /// it out answers `true`.
         may_still_apply: bool,
     },
+    /// Entry to entry: the record of a job that the sender has written to the
+    /// store, encoded as it is there. It lets the coordinator place the job
+    /// before its watch of the store reports it.
+    JobRecord(Vec<u8>),
 }
--- a/crates/protocol/src/wire/frame.rs
+++ b/crates/protocol/src/wire/frame.rs
@@ -163,6 +163,7 @@
         number: u64,
         may_still_apply: bool,
     },
+    JobRecord(Vec<u8>),
 }
 
 impl From<crate::message::Message> for Message {
@@ -188,6 +189,7 @@
             D::Heartbeat(a) => Self::Heartbeat(a.into()),
             D::SettingsRequest => Self::SettingsRequest,
             D::Settings(a) => Self::Settings(a),
+            D::JobRecord(a) => Self::JobRecord(a),
             D::Entries(a) => {
                 Self::Entries(a.into_iter().map(Into::into).collect())
             }
@@ -261,6 +263,7 @@
             Message::Heartbeat(a) => Self::Heartbeat(a.try_into()?),
             Message::SettingsRequest => Self::SettingsRequest,
             Message::Settings(a) => Self::Settings(a),
+            Message::JobRecord(a) => Self::JobRecord(a),
             Message::Entries(a) => Self::Entries(try_convert_all(a)?),
             Message::StandbyJobs(a) => Self::StandbyJobs(try_convert_all(a)?),
             Message::AgentRequest(a) => Self::AgentRequest(a.try_into()?),
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -50,6 +50,8 @@
     /// If set, each transaction is committed after this delay and is never
     /// answered.
     pub write_delay: Option<Duration>,
+    /// The delay before a watch reports the changes that it has seen.
+    pub watch_delay: Duration,
     /// Whether reads return the value that a key had before its last write.
     pub stale_reads: bool,
 }
@@ -163,7 +165,11 @@
         }
         ("GET", "/-/kv-key") => get(kv, call),
         ("GET", "/-/kv-range") => range(kv, call),
-        ("GET", "/-/kv-watch") => watch(kv, call),
+        ("GET", "/-/kv-watch") => {
+            let changes = watch(kv, call);
+            thread::sleep(active.watch_delay);
+            changes
+        }
         ("POST", "/-/kv-txn") => commit(kv, faults, observed, call),
         ("POST", "/-/kv-lease") => grant(kv, call),
         _ => renew_or_revoke(kv, call),
--- a/tests/platform_failures.rs
+++ b/tests/platform_failures.rs
@@ -43,6 +43,29 @@
     site.assert_no_violations();
 }
 
+#[test]
+fn an_accepted_job_is_placed_although_the_watch_is_late() {
+    // The maximum time from the answer to a caller until the job's task runs.
+    const MAX_START_DELAY: Duration = Duration::from_millis(800);
+    let site = start_site(3, 1);
+    let coordinator = site.coordinator().expect("there is a coordinator");
+    // The candidates have to read who the coordinator is.
+    sleep_one_second();
+    for entry in &site.entries {
+        entry.store_endpoint.faults().watch_delay = Duration::from_secs(3);
+    }
+    sleep_one_second();
+    for (id, i) in (1..).zip(0..3) {
+        let entry = site.entry((coordinator + i) % 3);
+        let work = job(1, 1, 100, false);
+        assert_eq!(site.client.submit(entry, id, &work).status, 200);
+        wait_for("the job's task to start", MAX_START_DELAY, || {
+            (site.starts(id) == 1).then_some(())
+        });
+    }
+    site.assert_no_violations();
+}
+
 #[test]
 fn a_coordinator_frozen_past_its_lease_starts_nothing_twice() {
     let site = start_site(2, 2);
