Continue in the same term after a pause of the store

Change: it sends nothing while the lease may have expired (E1305 TermPaused), and continues (E1306 TermResumed) when a renewal succeeds: nobody can have taken over then. It ends when the store says that the lease is gone. Agents that connected meanwhile get the fencing token. Test: a_coordinator_continues_after_a_pause (the scheduler loses what it orders for 4 s; written with the change, not seen to fail first).

--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -259,6 +259,26 @@
     assert!(sim.run_until(MAX_CLAIM_MS, started), "{:?}", sim.pool.trace);
 }
 
+#[test]
+fn a_coordinator_continues_after_a_pause() {
+    let mut sim = Sim::new(4, 1);
+    sim.submit(job(1, 1, 4, 2, 3000));
+    sim.submit(gang(job(2, 1, 2, 8, 1000)));
+    sim.run(600);
+    sim.store_up = false;
+    sim.paused = true;
+    sim.submit(gang(job(3, 1, 3, 4, 500)));
+    sim.cancel(SECOND_JOB);
+    sim.run(4000);
+    sim.store_up = true;
+    sim.paused = false;
+    assert!(sim.run_until(5000, Sim::all_ended), "{:?}", sim.pool.trace);
+    assert_eq!(sim.state(FIRST_JOB), BatchState::Done);
+    assert_eq!(sim.state(SECOND_JOB), BatchState::Cancelled);
+    assert_eq!(sim.state(BatchId(3)), BatchState::Done);
+    assert_no_violations(&sim, "pause");
+}
+
 #[test]
 fn urgent_work_without_a_guarantee_does_not_preempt_much_progress() {
     let mut sim = Sim::new(1, 1);
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -78,6 +78,9 @@
     pub token: u64,
     /// Whether the store accepts commits.
     pub store_up: bool,
+    /// Whether the coordinator's actions are dropped, as they are while its
+    /// lease may have expired.
+    pub paused: bool,
     /// The starts that the scheduler has sent: the time in milliseconds, and
     /// `TASK/RUN AGENT`.
     pub start_orders: Vec<(u64, String)>,
@@ -120,6 +123,7 @@
             faults: Faults::default(),
             token: 0,
             store_up: true,
+            paused: false,
             start_orders: Vec::new(),
             quarantines: Vec::new(),
             batches: BTreeMap::new(),
@@ -310,7 +314,11 @@
     }
 
     fn send_actions(&mut self) {
-        for action in self.scheduler.take_actions() {
+        let mut actions = self.scheduler.take_actions();
+        if self.paused {
+            actions.clear();
+        }
+        for action in actions {
             if let Action::RecordEvent(event) = &action
                 && event.code == Code::WorkerQuarantined
             {
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -16,8 +16,8 @@
     time::Duration,
 };
 
-use crossbeam::channel::{Receiver, Sender, bounded};
-use figrill_coordination::scheduler::{Action, Commit, Now, Scheduler};
+use crossbeam::channel::{Receiver, bounded};
+use figrill_coordination::scheduler::{Action, Now, Scheduler};
 use figrill_protocol::message::{Heartbeat, Message};
 use figrill_state::{
     batch::{Batch, keys},
@@ -250,27 +250,67 @@
         self.journal.record_event(Code::JobAdopted, detail);
         let commits = start_commits(term, stored.ledger_revision, tx.clone())?;
         start_watch(term, stored.revision, tx)?;
-        while !self.is_stopping() && term.is_valid() {
-            self.run_iteration(
-                &mut scheduler,
-                &mut directory,
-                &inputs,
-                &commits,
-                term,
-            );
+        let mut last_valid = true;
+        let mut version = 0;
+        while !self.is_stopping() && !term.has_ended() {
+            let catalog = self.catalog.get();
+            if let Some(catalog) = catalog.filter(|c| c.version != version) {
+                version = catalog.version;
+                scheduler.set_workspaces(catalog.workspaces.clone());
+            }
+            self.handle_inputs(&mut scheduler, &mut directory, &inputs);
+            scheduler.tick(self.now());
+            let valid = term.is_valid();
+            if valid != last_valid {
+                last_valid = valid;
+                self.record_validity(&mut scheduler, term, valid);
+            }
+            // Actions that were decided under a lease that has expired since
+            // are not carried out. The scheduler repeats what is lost.
+            let actions = scheduler.take_actions();
+            if valid {
+                self.perform_all(actions);
+                if let Some(commit) = scheduler.take_commit() {
+                    // The scheduler has at most one commit in flight, so the
+                    // queue has space.
+                    let _ = commits.send(commit);
+                }
+            }
+            self.dial_and_heartbeat(&mut directory);
         }
         Ok(())
     }
 
-    /// Handles the queued inputs and events, runs the scheduler, and carries
-    /// out its actions.
-    fn run_iteration(
+    /// Records that the coordinator pauses because its lease may have expired,
+    /// or that it continues because the lease turned out to be renewed. Agents
+    /// that connected meanwhile have not been sent the fencing token.
+    fn record_validity(
+        &self,
+        scheduler: &mut Scheduler,
+        term: &Term,
+        valid: bool,
+    ) {
+        let code = if valid {
+            Code::TermResumed
+        } else {
+            Code::TermPaused
+        };
+        let detail = format!("token={}", term.token);
+        self.journal.record_event(code, detail);
+        if valid {
+            for agent in self.agents.keys() {
+                scheduler.agent_connected(agent);
+            }
+        }
+    }
+
+    /// Waits for an input, at most for [`TICK_INTERVAL`], and handles all that
+    /// are queued.
+    fn handle_inputs(
         &mut self,
         scheduler: &mut Scheduler,
         directory: &mut AgentDirectory,
         inputs: &Receiver<StoreInput>,
-        commits: &Sender<Commit>,
-        term: &Term,
     ) {
         crossbeam::select! {
             recv(inputs) -> input => if let Ok(input) = input {
@@ -293,25 +333,12 @@
         while let Ok(event) = self.inputs.events.try_recv() {
             self.handle_event(scheduler, event);
         }
-        if let Some(catalog) = self.catalog.get() {
-            scheduler.set_workspaces(catalog.workspaces.clone());
-        }
-        scheduler.tick(self.now());
-        let actions = scheduler.take_actions();
-        // Actions that were decided under a lease that has expired since are
-        // not carried out.
-        if !term.is_valid() {
-            return;
-        }
+    }
+
+    fn perform_all(&self, actions: Vec<Action>) {
         for action in actions {
             self.perform(action);
         }
-        if let Some(commit) = scheduler.take_commit() {
-            // The scheduler has at most one commit in flight, so the queue has
-            // space.
-            let _ = commits.send(commit);
-        }
-        self.dial_and_heartbeat(directory);
     }
 
     fn perform(&self, action: Action) {
--- a/crates/node/src/fleet/lead/term.rs
+++ b/crates/node/src/fleet/lead/term.rs
@@ -152,6 +152,13 @@
         !self.ended.load(Ordering::Relaxed) && now < u128::from(valid_until)
     }
 
+    /// Returns whether the term is over for good. A term that is not valid may
+    /// become so again: while the store does not answer, the lease may go on,
+    /// and then no other process can have taken over.
+    pub(super) fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
     /// Ends the term and releases the lease.
     pub(super) fn release(&self) {
         self.ended.store(true, Ordering::Relaxed);
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -75,6 +75,8 @@
     TermLost 1302 Warn "this process no longer coordinates the cell",
     TermFenced 1303 Warn "an agent refused a message of an older term",
     TermProvisional 1304 Warn "with the store down, this process coordinates without a granted term",
+    TermPaused 1305 Warn "the coordinator sends no orders because its lease may have expired",
+    TermResumed 1306 Info "the coordinator's lease was renewed in time, so it sends orders again",
     SettingsAdopted 1401 Info "this process adopted a higher revision of the settings",
     SettingsRefused 1402 Warn "a change of the settings was refused",
     WorkerUp 1501 Info "an agent reported its worker to the coordinator",
