Let larger VMs coordinate

Cause: whichever entry was first became the coordinator. Change: an entry with less than a quarter of a core campaigns up to 0.4 s later (coordination::campaign; processor_share in [limits]). Records of progress leave out what has its default; earlier builds read them as before.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,8 +5,8 @@
 //! In the mode in which agents own the state of their workers, [`entry`],
 //! [`term`], [`coordinator`] and [`agent`] are the state machines and
 //! [`message`] holds what they exchange. In the mode in which all scheduling
-//! state is kept in the platform's store, [`scheduler`], [`entries`] and
-//! [`orders`] take their place. [`learn`] estimates run times for both, and [`adoption`]
+//! state is kept in the platform's store, [`scheduler`], [`entries`],
+//! [`orders`] and [`campaign`] take their place. [`learn`] estimates run times for both, and [`adoption`]
 //! tracks the revision of the settings that a process has in force.
 //!
 //! ```
@@ -20,6 +20,7 @@
 
 pub mod adoption;
 pub mod agent;
+pub mod campaign;
 pub mod coordinator;
 pub mod entries;
 pub mod entry;
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -17,7 +17,10 @@
 };
 
 use crossbeam::channel::{Receiver, bounded};
-use figrill_coordination::scheduler::{Action, Now, Scheduler};
+use figrill_coordination::{
+    campaign,
+    scheduler::{Action, Now, Scheduler},
+};
 use figrill_protocol::message::{Heartbeat, Message};
 use figrill_state::{
     batch::{Batch, keys},
@@ -165,7 +168,9 @@
         let (kv, clock) = (self.config.kv.clone(), self.config.clock.clone());
         let name = self.config.deployment.name.clone();
         let incarnation = self.net.local_peer().incarnation;
-        match Term::acquire(&kv, &clock, &name, incarnation)? {
+        let share = self.config.deployment.limits.processor_share;
+        let deferral = campaign::deferral(share);
+        match Term::acquire(&kv, &clock, &name, incarnation, deferral)? {
             Attempt::Acquired(term) => {
                 self.mesh.set_coordinator(Some(&name));
                 self.coordinate(&Arc::new(term));
--- a/crates/node/src/fleet/lead/term.rs
+++ b/crates/node/src/fleet/lead/term.rs
@@ -61,15 +61,21 @@
 }
 
 impl Term {
-    /// Acquires the lease for the process `name` if no process holds it.
-    /// `incarnation` tells this start of the process from earlier ones.
+    /// Acquires the lease for the process `name` if no process holds it, and
+    /// none acquires it within `deferral`. `incarnation` tells this start of
+    /// the process from earlier ones.
     pub(super) fn acquire(
         kv: &Arc<dyn Kv>,
         clock: &Arc<dyn Clock>,
         name: &str,
         incarnation: u64,
+        deferral: Duration,
     ) -> Result<Attempt, KvError> {
-        let existing = kv.list(keys::COORDINATOR, STORE_TIMEOUT)?;
+        let mut existing = kv.list(keys::COORDINATOR, STORE_TIMEOUT)?;
+        if existing.items.is_empty() && !deferral.is_zero() {
+            thread::sleep(deferral);
+            existing = kv.list(keys::COORDINATOR, STORE_TIMEOUT)?;
+        }
         if let Some(item) = existing.items.first() {
             return Ok(Attempt::Held {
                 holder: holder_name(item),
--- a/crates/state/src/batch.rs
+++ b/crates/state/src/batch.rs
@@ -307,27 +307,33 @@
 pub struct TaskProgress {
     /// The highest number of a run that may have been ordered; 0 if there is
     /// none.
-    #[serde(rename = "r")]
+    #[serde(rename = "r", skip_serializing_if = "is_default")]
     pub run: u32,
     /// Where that run may be active; `None` once it has certainly ended.
     #[serde(rename = "p", skip_serializing_if = "Option::is_none")]
     pub placement: Option<Placement>,
     /// Whether the task is done.
-    #[serde(rename = "d")]
+    #[serde(rename = "d", skip_serializing_if = "is_default")]
     pub done: bool,
     /// The number of failed runs. For a gang, it is counted on the first
     /// task.
-    #[serde(rename = "f")]
+    #[serde(rename = "f", skip_serializing_if = "is_default")]
     pub failures: u32,
     /// The last run that was counted in `failures`, so that none is counted
     /// twice.
-    #[serde(rename = "g")]
+    #[serde(rename = "g", skip_serializing_if = "is_default")]
     pub failed_run: u32,
     /// The latest known checkpoint; empty if there is none.
     #[serde(rename = "c", skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
 }
 
+/// Returns whether a field has its default value and is left out of a record.
+/// Most fields have it, and jobs have up to thousands of tasks.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// The progress of a job, written by the coordinator.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -24,6 +24,8 @@
     /// The time between the signal that asks a process to stop and the one
     /// that ends it.
     pub shutdown_grace: Duration,
+    /// The number of processors that the process may use.
+    pub processor_share: f64,
     /// The factor by which tasks take longer when they run on another rack
     /// than their data or than the rest of their gang.
     pub spread_slowdown: f64,
@@ -39,6 +41,7 @@
             checkpoint_interval: Duration::from_secs(1),
             checkpoint_restore: Duration::from_millis(250),
             shutdown_grace: Duration::from_secs(6),
+            processor_share: 1.0,
             spread_slowdown: 3.0,
         }
     }
@@ -102,6 +105,12 @@
         range: (2.0, 3600.0),
         set: |l, v| l.shutdown_grace = Duration::from_secs_f64(v),
     },
+    Key {
+        name: "processor_share",
+        help: "number of processors that the process may use",
+        range: (0.001, 4096.0),
+        set: |l, v| l.processor_share = v,
+    },
     Key {
         name: "spread_slowdown",
         help: "how much longer tasks take away from their rack",
