Stop less work than urgent work brings, and wait for a rack when crowded

Change: work of priority 0 beyond a guarantee may cost as much other work as it is itself. A gang bound to one rack waits four times its expected duration for one while under a third of the accelerators is free, once that time as before otherwise. Tests: urgent_work_stops_less_work_than_it_brings, a_gang_waits_for_one_rack_longer_on_a_crowded_site.

--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -35,6 +35,17 @@
 /// assumed to take at least the result, whatever its estimate says.
 const TYPICAL_DURATION_FACTOR: f64 = 0.7;
 
+/// How long a gang that is bound to one rack waits for capacity on one, as a
+/// multiple of its expected duration.
+const RACK_PATIENCE: u32 = 1;
+
+/// The same while the site is crowded: a gang that is spread takes its
+/// capacity from others for longer.
+const CROWDED_RACK_PATIENCE: u32 = 4;
+
+/// The site is crowded while less than this part of its accelerators is free.
+const CROWDED_FREE_DIVISOR: u64 = 3;
+
 /// The tasks of one step and occurrence that wait to be placed.
 #[derive(Clone, Debug)]
 pub(super) struct TaskGroup {
@@ -66,6 +77,9 @@
     typical_duration: Duration,
     /// The maximum time that a claim waits for capacity on one rack.
     max_claim_rack_wait: Duration,
+    /// How long other gangs wait for capacity on one rack, as a multiple of
+    /// their expected duration.
+    rack_patience: u32,
 }
 
 impl TaskGroup {
@@ -121,6 +135,11 @@
         claims: &BTreeSet<BatchId>,
     ) -> Vec<TaskGroup> {
         let max_claim_rack_wait = self.max_preemption_wait();
+        let rack_patience = if self.is_crowded() {
+            CROWDED_RACK_PATIENCE
+        } else {
+            RACK_PATIENCE
+        };
         let typical_durations = self.typical_durations();
         let mut groups = Vec::new();
         for job in self.jobs.values_mut() {
@@ -139,6 +158,7 @@
                         .copied()
                         .unwrap_or_default(),
                     max_claim_rack_wait,
+                    rack_patience,
                 };
                 add_groups(job, occurrence, cx, &mut groups);
             }
@@ -191,6 +211,17 @@
         claims
     }
 
+    /// Returns whether little of the accelerators is free.
+    fn is_crowded(&self) -> bool {
+        let reported = self.workers.values().filter_map(|w| {
+            let capacity = w.upstream.as_ref()?.capacity.accelerators;
+            Some((w.free().accelerators, capacity))
+        });
+        let (free, capacity) =
+            reported.fold((0, 0), |(f, c), (free, cap)| (f + free, c + cap));
+        free * CROWDED_FREE_DIVISOR < capacity
+    }
+
     /// Returns the workers that may receive tasks now.
     pub(super) fn candidates(&self, now: Now) -> Vec<Candidate> {
         let usable: Vec<_> = self
@@ -394,7 +425,7 @@
         let max_rack_wait = if cx.claim {
             expected_duration.min(cx.max_claim_rack_wait)
         } else {
-            expected_duration
+            expected_duration * cx.rack_patience
         };
         for task in &tasks {
             // Creates the progress of the task, which placement relies on.
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -98,9 +98,12 @@
 const SLACK_WAIT_FRACTION: f64 = 0.4;
 
 /// The maximum work that may be lost for work of priority 0 beyond its
-/// guarantee, as a fraction of that work. For all work of priority 0 it is
-/// also the loss above which [`PreemptionPolicy::long_wait_s`] applies.
-const MAX_LOSS_FRACTION: f64 = 0.3;
+/// guarantee, as a fraction of that work.
+const MAX_LOSS_FRACTION: f64 = 1.0;
+
+/// The loss above which [`PreemptionPolicy::long_wait_s`] applies, as a
+/// fraction of the work that waits.
+const HIGH_LOSS_FRACTION: f64 = 0.3;
 
 /// The cost, in core-seconds, of a second of waiting for a run to end. It only
 /// has to order runs that end by themselves, which lose nothing.
@@ -140,12 +143,14 @@
             claim: group.claim,
             short_wait_s: remaining_s(max_wait.min(slack_wait)),
             long_wait_s: remaining_s(max_wait),
-            high_loss: self.max_loss(group),
+            high_loss: HIGH_LOSS_FRACTION * self.work(group),
         };
         let mode = FreeingMode::Preempt(policy);
         let options =
             self.choose_options(now, group, candidates, victims, mode);
-        if !group.claim && total_cost(&options) > self.max_loss(group) {
+        if !group.claim
+            && total_cost(&options) > MAX_LOSS_FRACTION * self.work(group)
+        {
             self.reserve(now, group, candidates, victims);
             return;
         }
@@ -177,18 +182,14 @@
         start.saturating_sub(PREEMPTION_LATENCY)
     }
 
-    /// Returns the core-seconds of other work that may be lost for a group;
-    /// see [`MAX_LOSS_FRACTION`].
-    fn max_loss(&self, group: &TaskGroup) -> f64 {
+    /// Returns the work of a group in core-seconds, by its estimate.
+    fn work(&self, group: &TaskGroup) -> f64 {
         let job = self.jobs.get(&group.first().job);
         let step = job.and_then(|j| j.batch.step(group.first()));
         step.map_or(0.0, |step| {
             let estimate = Duration::from_millis(step.estimate_ms);
             let tasks = f64::from(group.count());
-            estimate.as_secs_f64()
-                * cores(&step.needs)
-                * tasks
-                * MAX_LOSS_FRACTION
+            estimate.as_secs_f64() * cores(&step.needs) * tasks
         })
     }
 
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -279,6 +279,94 @@
     assert_no_violations(&sim, "pause");
 }
 
+#[test]
+fn urgent_work_stops_less_work_than_it_brings() {
+    struct Case {
+        name: &'static str,
+        /// How long the run that is in the way has worked, in milliseconds.
+        spent_ms: u64,
+        stops: usize,
+    }
+    let cases = [
+        Case {
+            name: "less than its own work",
+            spent_ms: 2000,
+            stops: 1,
+        },
+        Case {
+            name: "more than its own work",
+            spent_ms: 6000,
+            stops: 0,
+        },
+    ];
+    for case in cases {
+        let mut sim = Sim::new(1, 1);
+        sim.submit(job(1, 1, 1, 8, 60_000));
+        sim.run(case.spent_ms);
+        let mut urgent = job(2, 0, 1, 8, 4000);
+        urgent.workspace = "without a guarantee".to_owned();
+        sim.submit(urgent);
+        sim.run(3000);
+        assert_eq!(count_events(&sim, "stopped"), case.stops, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_gang_waits_for_one_rack_longer_on_a_crowded_site() {
+    struct Case {
+        name: &'static str,
+        workers: usize,
+        /// The tasks that occupy a worker each. They leave a free worker on
+        /// several racks, and no rack with three.
+        blocking: u32,
+        spread: bool,
+    }
+    let cases = [
+        Case {
+            name: "most workers are free",
+            workers: 9,
+            blocking: 3,
+            spread: true,
+        },
+        Case {
+            name: "few workers are free",
+            workers: 12,
+            blocking: 9,
+            spread: false,
+        },
+    ];
+    for case in cases {
+        let mut sim = Sim::new(case.workers, 1);
+        sim.run(500);
+        // Best fit fills one rack after the other. Blocking each rack in turn
+        // takes tasks that must not share a worker or a rack.
+        let racks = u32::try_from(case.workers / 3).expect("a few racks");
+        for rack in 0..racks {
+            let mut batch =
+                job(10 + u64::from(rack), 0, case.blocking / racks, 8, 4000);
+            batch.workspace = "without a guarantee".to_owned();
+            batch.steps[0].requires = Some(format!("rack-{rack}"));
+            if case.blocking % racks > rack {
+                batch.steps[0].count += 1;
+            }
+            sim.submit(batch);
+        }
+        sim.run(500);
+        let mut gang = gang(job(1, 1, 3, 8, 1000));
+        gang.steps[0].same_rack = true;
+        sim.submit(gang);
+        let placed = |s: &Sim| agents_of_job(s, "0000000000000001").len() == 3;
+        assert!(sim.run_until(6000, placed), "{}", case.name);
+        let racks: std::collections::BTreeSet<usize> =
+            agents_of_job(&sim, "0000000000000001")
+                .iter()
+                .filter_map(|agent| agent.rsplit('-').next()?.parse().ok())
+                .map(|worker: usize| worker / 3)
+                .collect();
+        assert_eq!(racks.len() > 1, case.spread, "{}: {racks:?}", case.name);
+    }
+}
+
 #[test]
 fn urgent_work_without_a_guarantee_does_not_preempt_much_progress() {
     let mut sim = Sim::new(1, 1);
