--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -135,8 +135,14 @@
         victims: &mut Victims,
     ) {
         let waited = now.monotonic.saturating_sub(group.ready_at);
-        let max_wait = self.max_preemption_wait();
         let slack_wait = group.slack.mul_f64(SLACK_WAIT_FRACTION);
+        // Only claims have a time limit for their start; other work may wait
+        // as long as it still ends in time.
+        let max_wait = if group.claim {
+            self.max_preemption_wait()
+        } else {
+            self.max_preemption_wait().max(slack_wait)
+        };
         let remaining_s =
             |limit: Duration| limit.saturating_sub(waited).as_secs_f64();
         let policy = PreemptionPolicy {
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -311,6 +311,21 @@
     }
 }
 
+#[test]
+fn urgent_work_waits_for_a_run_that_ends_within_its_slack() {
+    let mut sim = Sim::new(1, 1);
+    sim.submit(job(1, 1, 1, 8, 6000));
+    assert!(sim.run_until(1000, |s| count_events(s, "start") == 1));
+    // The run has three more seconds to go, and the urgent work more than
+    // twenty seconds to spare.
+    sim.run(3000);
+    let mut urgent = job(2, 0, 1, 8, 12_000);
+    urgent.workspace = "without a guarantee".to_owned();
+    sim.submit(urgent);
+    assert!(sim.run_until(5000, |s| count_events(s, "start") == 2));
+    assert_eq!(count_events(&sim, "stopped"), 0, "{:?}", sim.pool.trace);
+}
+
 #[test]
 fn a_gang_waits_for_one_rack_longer_on_a_crowded_site() {
     struct Case {
