Stop lower work that loses hardly anything for work that has waited

Nearly half of those resume from a checkpoint, which a stop writes. Change: work of any priority, once it has waited 1.5 s and is among the next two, stops runs of lower priority if all that is lost is under a tenth of its own work; else it gets a reservation as before. Test: normal_work_stops_lower_work_that_loses_hardly_anything; failed before.

--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -1,8 +1,7 @@
 //! The order in which waiting tasks are placed.
 //!
 //! The order is meant for heavy bursts of work. Priority 0, the highest, goes
-//! first and may preempt lower priorities; within it, claims on a workspace's
-//! guarantee go first. After that, the earliest deadline goes first. Work of
+//! first; within it, claims on a workspace's guarantee go first. After that, the earliest deadline goes first. Work of
 //! lower priority that has waited long gets a reservation, so that later and
 //! smaller work cannot starve it.
 
@@ -23,12 +22,12 @@
     place::{Assignment, Candidate, PlacementRequest, scaled},
 };
 
-/// How long a group of tasks below priority 0 waits before capacity is
-/// reserved for it.
+/// How long a group of tasks below priority 0 waits before capacity is freed
+/// or reserved for it.
 const RESERVATION_WAIT: Duration = Duration::from_millis(1500);
 
 /// The maximum number of groups below priority 0 for which one planning pass
-/// reserves capacity.
+/// frees or reserves capacity.
 const MAX_RESERVATIONS: usize = 2;
 
 /// The factor applied to the median run time of a queue's tasks. A task is
@@ -96,8 +95,8 @@
 
 impl Scheduler {
     /// Places waiting tasks in order. For those that do not fit, preempts runs
-    /// if they have priority 0, and reserves capacity otherwise once they have
-    /// waited for [`RESERVATION_WAIT`].
+    /// or reserves capacity: at once if they have priority 0, and otherwise
+    /// once they have waited for [`RESERVATION_WAIT`].
     pub(super) fn plan(&mut self, now: Now) {
         let claims = self.claims();
         let mut groups = self.pending_groups(now, &claims);
@@ -114,17 +113,17 @@
                 continue;
             }
             let waited = now.monotonic.saturating_sub(group.ready_at);
-            if group.priority == 0 {
-                let victims =
-                    victims.get_or_insert_with(|| self.victims(now, &claims));
-                self.preempt_for_group(now, group, &mut candidates, victims);
-            } else if waited >= RESERVATION_WAIT && reserved < MAX_RESERVATIONS
-            {
+            let is_next =
+                waited >= RESERVATION_WAIT && reserved < MAX_RESERVATIONS;
+            if group.priority > 0 {
+                if !is_next {
+                    continue;
+                }
                 reserved += 1;
-                let victims =
-                    victims.get_or_insert_with(|| self.victims(now, &claims));
-                self.reserve(now, group, &mut candidates, victims);
             }
+            let victims =
+                victims.get_or_insert_with(|| self.victims(now, &claims));
+            self.preempt_for_group(now, group, &mut candidates, victims);
         }
     }
 
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -326,6 +326,40 @@
     assert_eq!(count_events(&sim, "stopped"), 0, "{:?}", sim.pool.trace);
 }
 
+#[test]
+fn normal_work_stops_lower_work_that_loses_hardly_anything() {
+    struct Case {
+        name: &'static str,
+        checkpoints: bool,
+        stops: usize,
+    }
+    let cases = [
+        Case {
+            name: "resumes from its checkpoint",
+            checkpoints: true,
+            stops: 1,
+        },
+        Case {
+            name: "starts from the beginning",
+            checkpoints: false,
+            stops: 0,
+        },
+    ];
+    for case in cases {
+        let mut sim = Sim::new(1, 1);
+        let mut lower = job(1, 2, 1, 8, 60_000);
+        lower.steps[0].checkpoints = case.checkpoints;
+        sim.submit(lower);
+        sim.run(6000);
+        sim.submit(gang(job(2, 1, 2, 4, 5000)));
+        sim.run(4000);
+        assert_eq!(count_events(&sim, "stopped"), case.stops, "{}", case.name);
+        let started = count_events(&sim, "start") > 1;
+        assert_eq!(started, case.stops > 0, "{}", case.name);
+        assert_no_violations(&sim, case.name);
+    }
+}
+
 #[test]
 fn a_gang_waits_for_one_rack_longer_on_a_crowded_site() {
     struct Case {
