--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -235,8 +235,8 @@
     }
     assert!(sim.run_until(1000, |s| count_events(s, "start") == 2));
     sim.run(3500);
-    sim.submit(gang(job(2, 0, 2, 8, 500)));
-    let all_started = |s: &Sim| count_events(s, "start") == 4;
+    sim.submit(job(2, 0, 1, 8, 500));
+    let all_started = |s: &Sim| count_events(s, "start") == 3;
     assert!(
         sim.run_until(MAX_CLAIM_MS, all_started),
         "{:?}",
