Drop a limit that nothing used, and document the limits

checkpoint_interval_s was read and not used: a stop writes a checkpoint. A test holds the table of limits in OPERATING against the code.

--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -34,14 +34,6 @@
 /// assumed to take at least the result, whatever its estimate says.
 const TYPICAL_DURATION_FACTOR: f64 = 0.7;
 
-/// How long a gang that is bound to one rack waits for capacity on one, as a
-/// multiple of its expected duration.
-const RACK_PATIENCE: u32 = 1;
-
-/// The same while the site is crowded: a gang that is spread takes its
-/// capacity from others for longer.
-const CROWDED_RACK_PATIENCE: u32 = 4;
-
 /// The site is crowded while less than this part of its accelerators is free.
 const CROWDED_FREE_DIVISOR: u64 = 3;
 
@@ -78,7 +70,7 @@
     max_claim_rack_wait: Duration,
     /// How long other gangs wait for capacity on one rack, as a multiple of
     /// their expected duration.
-    rack_patience: u32,
+    rack_patience: f64,
 }
 
 impl TaskGroup {
@@ -134,10 +126,11 @@
         claims: &BTreeSet<BatchId>,
     ) -> Vec<TaskGroup> {
         let max_claim_rack_wait = self.max_preemption_wait();
+        // A gang that is spread takes its capacity from others for longer.
         let rack_patience = if self.is_crowded() {
-            CROWDED_RACK_PATIENCE
+            1.0 + self.limits.spread_slowdown
         } else {
-            RACK_PATIENCE
+            1.0
         };
         let typical_durations = self.typical_durations();
         let mut groups = Vec::new();
@@ -424,7 +417,7 @@
         let max_rack_wait = if cx.claim {
             expected_duration.min(cx.max_claim_rack_wait)
         } else {
-            expected_duration * cx.rack_patience
+            expected_duration.mul_f64(cx.rack_patience)
         };
         for task in &tasks {
             // Creates the progress of the task, which placement relies on.
--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -17,8 +17,6 @@
     pub gang_assembly: Duration,
     /// The maximum time by which one grant extends the lease of a run.
     pub max_lease: Duration,
-    /// The time between two checkpoints of a run.
-    pub checkpoint_interval: Duration,
     /// The time that a run needs to resume from a checkpoint.
     pub checkpoint_restore: Duration,
     /// The time between the signal that asks a process to stop and the one
@@ -38,7 +36,6 @@
             stop_grace: Duration::from_millis(200),
             gang_assembly: Duration::from_secs(3),
             max_lease: Duration::from_secs(10),
-            checkpoint_interval: Duration::from_secs(1),
             checkpoint_restore: Duration::from_millis(250),
             shutdown_grace: Duration::from_secs(6),
             processor_share: 1.0,
@@ -87,12 +84,6 @@
         range: (2000.0, 600_000.0),
         set: |l, v| l.max_lease = millis(v),
     },
-    Key {
-        name: "checkpoint_interval_s",
-        help: "time between two checkpoints of a run",
-        range: (0.0, 3600.0),
-        set: |l, v| l.checkpoint_interval = Duration::from_secs_f64(v),
-    },
     Key {
         name: "checkpoint_restore_ms",
         help: "time that a run needs to resume from a checkpoint",
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -1,6 +1,6 @@
 //! Tests that the documentation matches the code that it describes.
 
-use figrill_state::{event::Code, settings::schema};
+use figrill_state::{event::Code, limits, settings::schema};
 
 fn read(path: &str) -> String {
     let root = env!("CARGO_MANIFEST_DIR");
@@ -39,3 +39,12 @@
         assert!(page.contains(row), "docs/OPERATING.md lacks: {row}");
     }
 }
+
+#[test]
+fn the_operators_page_lists_every_limit() {
+    let page = read("docs/OPERATING.md");
+    for (name, help) in limits::help() {
+        let row = format!("| `{name}` | limits | {help} |");
+        assert!(page.contains(&row), "docs/OPERATING.md lacks: {row}");
+    }
+}
