--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -1,9 +1,9 @@
 //! The order in which waiting tasks are placed.
 //!
 //! The order is meant for heavy bursts of work. Priority 0, the highest, goes
-//! first; within it, claims on a workspace's guarantee go first. After that, the earliest deadline goes first. Work of
-//! lower priority that has waited long gets a reservation, so that later and
-//! smaller work cannot starve it.
+//! first; within it, claims on a workspace's guarantee go first. After that,
+//! the earliest deadline goes first. Work of lower priority that has waited
+//! long gets a reservation, so that later and smaller work cannot starve it.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -34,7 +34,7 @@
 /// assumed to take at least the result, whatever its estimate says.
 const TYPICAL_DURATION_FACTOR: f64 = 0.7;
 
-/// The site is crowded while less than this part of its accelerators is free.
+/// The site is crowded while less than one in this many accelerators is free.
 const CROWDED_FREE_DIVISOR: u64 = 3;
 
 /// The tasks of one step and occurrence that wait to be placed.
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -32,8 +32,8 @@
 /// the messages to the agents and back.
 const PREEMPTION_LATENCY: Duration = Duration::from_millis(900);
 
-/// The maximum fraction of its slack that work of priority 0 waits for such
-/// runs if stopping them would lose little.
+/// The maximum fraction of its slack that work waits for runs that end by
+/// themselves if stopping them would lose little.
 const SLACK_WAIT_FRACTION: f64 = 0.4;
 
 /// The maximum work that may be lost for work of priority 0 beyond its
@@ -109,9 +109,9 @@
         self.reserve_options(group, &options, candidates, victims);
     }
 
-    /// Returns the maximum time that work of priority 0 waits for runs that
-    /// end by themselves, or for capacity on one rack. After it there is still
-    /// enough time to stop runs and start within the limit for claims.
+    /// Returns the maximum time that a claim waits for runs that end by
+    /// themselves, or for capacity on one rack. After it there is still enough
+    /// time to stop runs and start within the limit for claims.
     pub(super) fn max_preemption_wait(&self) -> Duration {
         let limits = &self.limits;
         let start = limits.claim_start.saturating_sub(limits.stop_grace);
