Call a job cancelled only once it has ended so

Change: until the coordinator has written progress, a job is queued; only the coordinator calls it cancelled.

--- a/crates/node/src/fleet/stored.rs
+++ b/crates/node/src/fleet/stored.rs
@@ -130,7 +130,8 @@
 }
 
 /// Reads the state of a job. A job that has no progress record yet is queued,
-/// or cancelled if its own record says so.
+/// also if its cancellation was accepted: only the coordinator ends a job, and
+/// it may find that the job is already done.
 pub(super) fn read_state(
     kv: &dyn Kv,
     id: BatchId,
@@ -141,14 +142,9 @@
             decode(&item.value).map_err(|e| malformed(&e))?;
         return Ok(JobLookup::Found(progress.state));
     }
-    let Some(item) = kv.get(&keys::job(id), timeout)? else {
-        return Ok(JobLookup::NotFound);
-    };
-    let batch: Batch = decode(&item.value).map_err(|e| malformed(&e))?;
-    Ok(JobLookup::Found(if batch.cancelled {
-        BatchState::Cancelled
-    } else {
-        BatchState::Queued
+    let found = kv.get(&keys::job(id), timeout)?;
+    Ok(found.map_or(JobLookup::NotFound, |_| {
+        JobLookup::Found(BatchState::Queued)
     }))
 }
 
