Show that finished jobs run again after an outage of the store

A job whose records are due for removal is forgotten before they are gone, and the reading after the outage takes it for a new one.

--- a/review/src/bin/commit-size.rs
+++ b/review/src/bin/commit-size.rs
@@ -13,11 +13,6 @@
     worker::{Worker, wall_ms},
 };
 use figrill_standin::platform::store::Outage;
-use figrill_state::kv::{Kv, Txn};
-use serde_json::Value;
-
-/// How long before its end the records of an ended job are removed.
-const RETENTION_MS: u64 = 300_000;
 
 /// The jobs of five minutes ago.
 const OLD_JOBS: u64 = 6;
@@ -62,8 +57,7 @@
     site.kill_all();
     // The site is off until five minutes after these jobs. Nothing runs that
     // could tell the time of their records from that.
-    let off_ms = age_records(&site, wall_ms() + FORGOTTEN_AT_MS + 2000);
-    case.record.line(&format!("off for {off_ms} ms"));
+    let _ = site.age_records(wall_ms() + FORGOTTEN_AT_MS + 2000);
     site.restart_all().map_err(text)?;
     let started = Instant::now();
     for i in 0..RUNNING_JOBS {
@@ -76,54 +70,16 @@
     }
     thread::sleep(OUTAGE_AT.saturating_sub(started.elapsed()));
     if case.trouble {
-        set_outage(&site, Outage::Refusing);
-        case.record.line("the store is down");
+        site.set_outage(Outage::Refusing);
     }
     thread::sleep(OUTAGE);
     if case.trouble {
-        set_outage(&site, Outage::None);
-        case.record.line("the store is back");
+        site.set_outage(Outage::None);
     }
     thread::sleep(CONTACT);
     Ok(judge(&site))
 }
 
-/// Makes the store refuse all calls, or serve again. Leases pause meanwhile.
-fn set_outage(site: &Site, outage: Outage) {
-    site.store_clock.set_running(outage == Outage::None);
-    for member in site.entries.iter().chain(&site.agents) {
-        member.store.faults().outage = outage;
-    }
-}
-
-/// Moves the times in all records of jobs back, so that the latest is due to
-/// be removed at `due_ms`. Returns by how much.
-fn age_records(site: &Site, due_ms: u64) -> u64 {
-    let items = site.kv.list("figrill/", Duration::ZERO);
-    let items = items.map(|l| l.items).unwrap_or_default();
-    let records: Vec<(String, u64, Value)> = items
-        .into_iter()
-        .filter_map(|item| {
-            let value = serde_json::from_slice(&item.value).ok()?;
-            Some((item.key, item.revision, value))
-        })
-        .collect();
-    let ended_ms = |value: &Value| value["ended_ms"].as_u64();
-    let latest = records.iter().filter_map(|(_, _, v)| ended_ms(v)).max();
-    let shift = latest.unwrap_or(0) + RETENTION_MS - due_ms;
-    for (key, revision, mut value) in records {
-        for field in ["ended_ms", "accepted_ms"] {
-            if let Some(ms) = value[field].as_u64().filter(|ms| *ms > 0) {
-                value[field] = (ms - shift).into();
-            }
-        }
-        let value = value.to_string().into_bytes();
-        let txn = Txn::compare_and_swap(&key, revision, value);
-        let _ = site.kv.commit(&txn, Duration::ZERO);
-    }
-    shift
-}
-
 /// Submits jobs and watches whether they start and whether ended jobs are
 /// shown as done.
 fn judge(site: &Site) -> Verdict {
--- a/review/src/site.rs
+++ b/review/src/site.rs
@@ -12,7 +12,7 @@
 use figrill_standin::{
     platform::{
         client::{Answer, Client},
-        store::{self, Endpoint},
+        store::{self, Endpoint, Outage},
     },
     process::Process,
     proxy::Proxy,
@@ -42,6 +42,12 @@
 const UPSTREAM_PORT: u16 = 8526;
 const WORKER_PORT: u16 = 8080;
 
+/// The time that the store takes for an answer.
+const STORE_DELAY: Duration = Duration::from_millis(4);
+
+/// How long after its end the records of a job are removed.
+const RETENTION_MS: u64 = 300_000;
+
 /// How long a site may take until its first job is done.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -248,6 +254,7 @@
         let ip = vm_ip(number);
         let name = format!("{role}-{index}");
         let store = store::open_at(&self.kv, &format!("{ip}:0"))?;
+        store.faults().delay = STORE_DELAY;
         let port = if role == "entry" {
             CALLERS_PORT
         } else {
@@ -430,6 +437,48 @@
         self.entries.iter().position(|e| e.name == name)
     }
 
+    /// Makes the store refuse all calls, or serve again. Leases pause while it
+    /// refuses.
+    pub fn set_outage(&self, outage: Outage) {
+        self.store_clock.set_running(outage == Outage::None);
+        self.record.line(&format!("the store: {outage:?}"));
+        for member in self.entries.iter().chain(&self.agents) {
+            member.store.faults().outage = outage;
+        }
+    }
+
+    /// Moves the times in all records of jobs back, so that the latest of them
+    /// is due to be removed at `due_ms`, in milliseconds since the Unix epoch.
+    /// No process may run meanwhile. Returns by how much.
+    #[must_use]
+    pub fn age_records(&self, due_ms: u64) -> u64 {
+        let items = self.kv.list("figrill/", Duration::ZERO);
+        let items = items.map(|l| l.items).unwrap_or_default();
+        let records: Vec<(String, u64, Value)> = items
+            .into_iter()
+            .filter_map(|item| {
+                let value = serde_json::from_slice(&item.value).ok()?;
+                Some((item.key, item.revision, value))
+            })
+            .collect();
+        let ended_ms = |value: &Value| value["ended_ms"].as_u64();
+        let latest = records.iter().filter_map(|(_, _, v)| ended_ms(v)).max();
+        let shift = latest.unwrap_or(0) + RETENTION_MS - due_ms;
+        for (key, revision, mut value) in records {
+            for field in ["ended_ms", "accepted_ms"] {
+                if let Some(ms) = value[field].as_u64().filter(|ms| *ms > 0) {
+                    value[field] = (ms - shift).into();
+                }
+            }
+            let value = value.to_string().into_bytes();
+            let txn = Txn::compare_and_swap(&key, revision, value);
+            let _ = self.kv.commit(&txn, Duration::ZERO);
+        }
+        self.record
+            .line(&format!("the site was off for {shift} ms"));
+        shift
+    }
+
     /// Copies the processes' logs to the folder `to`, for a look at a failure.
     fn copy_logs(&self, to: &Path) {
         for member in self.entries.iter().chain(&self.agents) {
