--- a/review/src/bin/forgotten-jobs.rs
+++ b/review/src/bin/forgotten-jobs.rs
@@ -25,7 +25,7 @@
 const OUTAGE_AT: Duration = Duration::from_secs(6);
 
 /// How long the outage lasts.
-const OUTAGE: Duration = Duration::from_millis(4500);
+const OUTAGE: Duration = Duration::from_millis(4400);
 
 /// When the jobs of five minutes ago are due to be forgotten, after the start
 /// of the running jobs.
--- a/review/src/bin/many-ends.rs
+++ b/review/src/bin/many-ends.rs
@@ -26,7 +26,7 @@
 const OUTAGE_AT: Duration = Duration::from_secs(8);
 
 /// How long the outage lasts.
-const OUTAGE: Duration = Duration::from_millis(4500);
+const OUTAGE: Duration = Duration::from_millis(4400);
 
 /// How long the site is watched after the outage.
 const WATCHED: Duration = Duration::from_secs(20);
--- a/review/src/bin/pending-count.rs
+++ b/review/src/bin/pending-count.rs
@@ -22,7 +22,10 @@
 const WAITING_JOBS: u64 = 4;
 
 /// How long the worker refuses starts.
-const UNHEALTHY: Duration = Duration::from_millis(6500);
+const UNHEALTHY: Duration = Duration::from_millis(5400);
+
+/// How long the counts are watched, from the moment the worker refuses starts.
+const WATCHED: Duration = Duration::from_secs(12);
 
 /// How long after its acceptance a job that has not begun has to be counted:
 /// `visible_ms` and 2 s.
@@ -49,8 +52,14 @@
     if case.trouble {
         case.record.line(&format!("{} refuses starts", free.id()));
         free.set_unhealthy(true);
+        let (free, record) = (free.clone(), case.record.clone());
+        thread::spawn(move || {
+            thread::sleep(UNHEALTHY);
+            free.set_unhealthy(false);
+            record.line(&format!("{} accepts starts again", free.id()));
+        });
     }
-    let unhealthy_since = Instant::now();
+    let begin = Instant::now();
     let mut accepted = Vec::new();
     for i in 0..WAITING_JOBS {
         let id = job_id(2, i);
@@ -60,10 +69,7 @@
         accepted.push((id, Instant::now()));
     }
     let mut breaches = Vec::new();
-    while unhealthy_since.elapsed() < Duration::from_secs(12) {
-        if unhealthy_since.elapsed() >= UNHEALTHY {
-            free.set_unhealthy(false);
-        }
+    while begin.elapsed() < WATCHED {
         let waiting = accepted.iter().filter(|(id, at)| {
             at.elapsed() >= VISIBLE && case.record.first_start(id).is_none()
         });
