Count a job as pending until one of its tasks has started

Cause: Job::place made a job running when it was placed, before its start was ordered, and nothing made it queued again. The length of a queue counts the jobs in the state queued.

Now the state changes with the first proof of a start: the answer to it, a list that has a run, or an end. So whatever keeps a placed task from starting, the record and the count say what the upstreams say. E2014 JobStarted names the proof. The model of an upstream can refuse all starts.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -382,6 +382,9 @@
         let worker = self.workers.get(agent);
         let earliest_clock_ms =
             worker.map_or(0, |w| w.earliest_clock(now.monotonic));
+        if matches!(outcome, StartOutcome::Running { .. }) {
+            self.record_start(now, id, agent, "answer");
+        }
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use figrill_state::{
-    batch::{BatchId, Progress, TaskId},
+    batch::{BatchId, BatchState, Progress, TaskId},
     event::Code,
     runner::StartOrder,
 };
@@ -38,7 +38,7 @@
     pub progress: Vec<(BatchId, Progress)>,
     /// Jobs whose records are to be removed.
     pub removals: Vec<BatchId>,
-    /// The number of jobs of which no task has been placed yet, by queue.
+    /// The number of jobs of which no task has started, by queue.
     pub queued_jobs: BTreeMap<String, u64>,
 }
 
@@ -168,14 +168,11 @@
         ends
     }
 
-    /// Returns the number of jobs of which no task has been placed yet, by
-    /// queue.
+    /// Returns the number of jobs of which no task has started, by queue.
     fn queued_jobs(&self) -> BTreeMap<String, u64> {
         let mut queued_jobs = BTreeMap::new();
         for job in self.jobs.values() {
-            let queued =
-                job.progress.state == figrill_state::batch::BatchState::Queued;
-            if queued {
+            if job.progress.state == BatchState::Queued {
                 *queued_jobs.entry(job.batch.queue.clone()).or_insert(0) += 1;
             }
         }
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -201,9 +201,6 @@
             progress.placement = Some(to.clone());
             checkpoint.clone_into(&mut progress.checkpoint);
         }
-        if self.progress.state == BatchState::Queued {
-            self.progress.state = BatchState::Running;
-        }
         let run = Run {
             agent: to.agent,
             upstream: to.upstream,
@@ -220,6 +217,16 @@
         self.runs.insert(task, run);
     }
 
+    /// Records that a task has started. Returns whether the job was queued
+    /// until now.
+    pub(super) fn record_start(&mut self) -> bool {
+        let was_queued = self.progress.state == BatchState::Queued;
+        if was_queued {
+            self.progress.state = BatchState::Running;
+        }
+        was_queued
+    }
+
     /// Returns the current runs of a gang's members.
     fn gang_runs(&self, id: TaskId) -> impl Iterator<Item = &Run> {
         self.tasks_of(id.occurrence, id.step)
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -351,7 +351,6 @@
             "waited_ms={waited_ms} due_in_ms={due_in_ms} claim={claim}{detail}"
         );
         self.dirty.insert(id);
-        self.queued_changed = true;
         self.record_event(Code::JobPlaced, id, &detail);
     }
 }
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -96,6 +96,30 @@
         self.stop_orphans(agent, snapshot);
     }
 
+    /// Records that a task has started, as `evidence` shows. Its job is no
+    /// longer queued from then on, whatever becomes of the run.
+    pub(super) fn record_start(
+        &mut self,
+        now: Now,
+        id: TaskId,
+        agent: &str,
+        evidence: &str,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        if job.task(id).is_none() || !job.record_start() {
+            return;
+        }
+        let age_ms = now.wall_ms.saturating_sub(job.batch.accepted_ms);
+        let detail = format!(
+            "task={id} agent={agent} shown_by={evidence} age_ms={age_ms}"
+        );
+        self.dirty.insert(id.job);
+        self.queued_changed = true;
+        self.record_event(Code::JobStarted, id.job, &detail);
+    }
+
     /// Handles the end of a run that a snapshot lists.
     fn apply_end(&mut self, now: Now, agent: &str, ended: &EndedRun) {
         let id = ended.task;
@@ -111,6 +135,7 @@
             worker.uncommitted_ends.insert(ended.number, id.job);
         }
         self.dirty.insert(id.job);
+        self.record_start(now, id, agent, "end");
         let current = self.jobs.get_mut(&id.job).and_then(|job| {
             let run = job.runs.get_mut(&id)?;
             (run.agent == agent && run.number == ended.run).then_some(run)
@@ -189,6 +214,7 @@
         clock_ms: u64,
         running: &ActiveRun,
     ) {
+        self.record_start(now, running.task, agent, "list");
         let Some(job) = self.jobs.get_mut(&running.task.job) else {
             return;
         };
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod gangs;
 mod lost_workers;
 mod preemption;
+mod queues;
 mod random_faults;
 mod restarts;
 mod sim;
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -64,6 +64,8 @@
     batches: BTreeMap<BatchId, Batch>,
     /// The progress that is committed to the store.
     progress: BTreeMap<BatchId, Progress>,
+    /// The lengths of the queues that are committed to the store.
+    queued_jobs: BTreeMap<String, u64>,
     agents: BTreeMap<String, Agent>,
     /// Messages in flight, with the time at which they arrive, in
     /// milliseconds, and the fencing token of the coordinator at their
@@ -103,6 +105,7 @@
             quarantines: Vec::new(),
             batches: BTreeMap::new(),
             progress: BTreeMap::new(),
+            queued_jobs: BTreeMap::new(),
             agents,
             in_flight: Vec::new(),
             commit: None,
--- a/crates/coordination/tests/fleet/sim/store.rs
+++ b/crates/coordination/tests/fleet/sim/store.rs
@@ -65,6 +65,12 @@
             .map_or(BatchState::Queued, |p| p.state)
     }
 
+    /// Returns the committed number of waiting jobs of the only queue, which is
+    /// what callers see.
+    pub fn queued_jobs(&self) -> u64 {
+        self.queued_jobs.values().sum()
+    }
+
     /// Returns whether all jobs have ended.
     pub fn all_ended(&self) -> bool {
         self.batches.keys().all(|id| self.state(*id).is_final())
@@ -84,6 +90,7 @@
             for (id, progress) in commit.progress {
                 self.progress.insert(id, progress);
             }
+            self.queued_jobs = commit.queued_jobs;
             self.send(STEP_MS, Message::Committed(number));
         }
     }
--- a/crates/example/src/pool.rs
+++ b/crates/example/src/pool.rs
@@ -94,6 +94,8 @@
     pub reachable: bool,
     /// Whether every task fails once its work is complete.
     pub fails_all: bool,
+    /// Whether every start is refused, as by an unhealthy upstream.
+    pub refuses_starts: bool,
     /// The speed in percent of the normal speed.
     pub speed_percent: u64,
     /// The highest fencing token seen; calls with a lower one are refused.
@@ -118,6 +120,7 @@
             upstream,
             reachable: true,
             fails_all: false,
+            refuses_starts: false,
             speed_percent: 100,
             fencing_token: 0,
             lease_end_ms: 0,
@@ -199,6 +202,9 @@
         if node.upstream.incarnation != *incarnation {
             return StartOutcome::Refused(Refusal::OtherIncarnation);
         }
+        if node.refuses_starts {
+            return StartOutcome::Refused(Refusal::Unhealthy);
+        }
         if start.token < node.fencing_token {
             return StartOutcome::Refused(Refusal::Fenced);
         }
--- a/crates/standin/src/platform/workers/calls.rs
+++ b/crates/standin/src/platform/workers/calls.rs
@@ -80,6 +80,9 @@
             StartOutcome::Running { clock_ms } => {
                 return json_reply(200, &json!({"clock_ms": clock_ms}));
             }
+            StartOutcome::Refused(Refusal::Unhealthy) => {
+                return json_reply(503, &json!({"clock_ms": clock_ms}));
+            }
             StartOutcome::Refused(Refusal::Fenced) => "fence",
             StartOutcome::Refused(Refusal::StaleRun) => "old",
             StartOutcome::Refused(Refusal::DeadlinePassed) => "late",
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -101,6 +101,7 @@
     StaleAnswer 2011 Info "the answer of an older attempt was dropped",
     ReclaimStarted 2012 Info "borrowed capacity is being returned to its workspace",
     WriteUnsettled 2013 Info "the store did not answer a write for a job, which may still take effect",
+    JobStarted 2014 Debug "the first task of a job has started, so the job is no longer queued",
     GrantHeld 3001 Debug "an agent reserved capacity for a gang",
     GrantRefused 3002 Debug "an agent refused to reserve capacity",
     GrantReleased 3003 Debug "an agent released a reservation",
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -103,6 +103,36 @@
     });
 }
 
+// Guards against jobs whose starts are refused, and that are shown as running
+// and missing from the number of pending jobs.
+#[test]
+fn a_job_whose_start_is_refused_stays_queued() {
+    let site = start_site(2, 1);
+    let set_refusing = |refuses| {
+        for node in site.workers.pool().nodes.values_mut() {
+            node.refuses_starts = refuses;
+        }
+    };
+    set_refusing(true);
+    let answer = site.client.submit(site.entry(0), 1, &job(1, 1, 200, false));
+    assert_eq!(answer.status, 200);
+    // Longer than a worker whose starts are refused is avoided.
+    for _ in 0..60 {
+        thread::sleep(Duration::from_millis(100));
+        for entry in [site.entry(0), site.entry(1)] {
+            assert_eq!(site.client.state(entry, 1), "queued");
+        }
+    }
+    for entry in [site.entry(0), site.entry(1)] {
+        let answer = site.client.call("GET", entry, "/q/", None);
+        assert_eq!(answer.body["pending"], 1);
+    }
+    assert_eq!(site.starts(1), 0);
+    set_refusing(false);
+    site.wait_for_state(0, 1, "done", WAIT_LIMIT);
+    site.assert_no_violations();
+}
+
 #[test]
 fn a_cancelled_job_stops_and_stays_cancelled() {
     let site = start_site(1, 1);
