Do not give up runs that a full list of ends lacks

Cause: an upstream lists 500 unacknowledged ends at a time. release_absent took a run that was listed neither as running nor as ended for one that never began, although its end was merely beyond the 500th.

A list with 500 ends may lack others, so it says nothing about a run that it lacks. Such a run is kept; the listed ends are acknowledged, and the next list has the rest. E1509 and E1510 log when a list lacks ends and when it has all again. The model of an upstream lists 500 ends at a time now, and reports a start after a success that is acknowledged later.

--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -5,12 +5,12 @@
 
 use figrill_state::{
     batch::{Incarnation, TaskId},
-    event::Code,
+    event::{Code, NewEvent},
     runner::{ActiveRun, EndedRun, RunEnd, Snapshot},
 };
 
 use super::{
-    Now, Scheduler,
+    Action, Now, Scheduler,
     job::{Phase, Run},
     message::{Grant, Report, ToAgent},
     speed::Observation,
@@ -92,10 +92,37 @@
                 running,
             );
         }
+        self.record_completeness(agent, snapshot);
         self.release_absent(now, agent, snapshot);
         self.stop_orphans(agent, snapshot);
     }
 
+    /// Records whether a worker's snapshot has all its ended runs.
+    fn record_completeness(&mut self, agent: &str, snapshot: &Snapshot) {
+        let Some(worker) = self.workers.get_mut(agent) else {
+            return;
+        };
+        let incomplete = !snapshot.lists_all_ends();
+        if worker.ends_incomplete == incomplete {
+            return;
+        }
+        worker.ends_incomplete = incomplete;
+        let code = if incomplete {
+            Code::EndsIncomplete
+        } else {
+            Code::EndsComplete
+        };
+        let detail = format!(
+            "agent={agent} listed={} last={} committed={} placed={}",
+            snapshot.ended.len(),
+            worker.last_end_number,
+            worker.acknowledged(),
+            worker.allocations.len(),
+        );
+        let event = NewEvent::new(code, detail);
+        self.actions.push(Action::RecordEvent(event));
+    }
+
     /// Records that a task has started, as `evidence` shows. Its job is no
     /// longer queued from then on, whatever becomes of the run.
     pub(super) fn record_start(
@@ -252,8 +279,13 @@
         }
     }
 
-    /// Releases runs that a snapshot should list but does not.
+    /// Releases runs that a snapshot should list but does not. A snapshot that
+    /// may lack ended runs shows nothing about a run that it lacks: its end
+    /// may follow once the listed ones are acknowledged.
     fn release_absent(&mut self, now: Now, agent: &str, snapshot: &Snapshot) {
+        if !snapshot.lists_all_ends() {
+            return;
+        }
         let listed: BTreeSet<(TaskId, u32)> =
             snapshot.running.iter().map(|r| (r.task, r.run)).collect();
         let Some(worker) = self.workers.get(agent) else {
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -57,6 +57,8 @@
     pub(super) orphans: Vec<(TaskId, u32, Option<Resources>)>,
     /// The sequence number of the latest end of a run that was processed.
     pub(super) last_end_number: u64,
+    /// Whether the latest snapshot may lack ended runs.
+    pub(super) ends_incomplete: bool,
     /// Ends that were processed but are not committed yet, by number.
     pub(super) uncommitted_ends: BTreeMap<u64, BatchId>,
     /// When the remaining time of a draining upstream was last reported.
@@ -101,6 +103,7 @@
     pub(super) fn forget_incarnation(&mut self) {
         self.clock = None;
         self.last_end_number = 0;
+        self.ends_incomplete = false;
         self.uncommitted_ends.clear();
         self.orphans.clear();
         self.drain_reported_at = None;
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod extreme_jobs;
 mod gangs;
 mod lost_workers;
+mod many_ends;
 mod preemption;
 mod queues;
 mod random_faults;
--- a/crates/example/src/pool.rs
+++ b/crates/example/src/pool.rs
@@ -15,6 +15,13 @@
     },
 };
 
+mod checks;
+mod task_spec;
+
+use checks::Success;
+pub use checks::Violation;
+pub use task_spec::TaskSpec;
+
 /// How long the started members of a gang wait for the others before they end,
 /// in milliseconds.
 const GANG_TIMEOUT_MS: u64 = 3000;
@@ -25,51 +32,12 @@
 /// The maximum duration of a lease, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
 
+/// The maximum number of ended runs in one snapshot.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// The amount of work between two checkpoints, in milliseconds.
 const CHECKPOINT_INTERVAL_MS: u64 = 500;
 
-/// What the payload of a task asks for.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct TaskSpec {
-    /// The duration of the work in milliseconds.
-    pub duration_ms: u64,
-    /// The resources that the task occupies.
-    pub resources: Resources,
-    /// The number of members of the task's gang; 0 if it is not in a gang.
-    pub gang_size: u32,
-    /// Whether the task fails once its work is complete.
-    pub fails: bool,
-    /// Whether the task makes no progress.
-    pub hangs: bool,
-}
-
-impl TaskSpec {
-    /// Parses a payload. Unknown words are ignored. The duration is 100 ms
-    /// unless the payload sets it.
-    #[must_use]
-    pub fn parse(payload: &str) -> Self {
-        let mut spec = Self {
-            duration_ms: 100,
-            ..Self::default()
-        };
-        for word in payload.split_whitespace() {
-            let (name, value) = word.split_once('=').unwrap_or((word, "0"));
-            let value: u64 = value.parse().unwrap_or(0);
-            match name {
-                "ms" => spec.duration_ms = value,
-                "cpu" => spec.resources.cpu_milli = value,
-                "mem" => spec.resources.memory_mib = value,
-                "gpu" => spec.resources.accelerators = value,
-                "gang" => spec.gang_size = u32::try_from(value).unwrap_or(0),
-                "fail" => spec.fails = true,
-                "hang" => spec.hangs = true,
-                _ => {}
-            }
-        }
-        spec
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Run {
     number: u32,
@@ -80,11 +48,6 @@
     stop_at_ms: Option<u64>,
 }
 
-/// A breach of a rule that the scheduler has to keep, such as a task that runs
-/// more than once.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Violation(pub String);
-
 /// One upstream.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -102,6 +65,8 @@
     fencing_token: u64,
     /// When the lease of all runs expires, on the clock of the incarnation.
     lease_end_ms: u64,
+    /// When the lease of all runs had last expired, on the pool's clock.
+    last_expiry_ms: Option<u64>,
     runs: BTreeMap<TaskId, Run>,
     ended: Vec<EndedRun>,
     /// The number of the last element of `ended`, counted from 1 in each
@@ -124,6 +89,7 @@
             speed_percent: 100,
             fencing_token: 0,
             lease_end_ms: 0,
+            last_expiry_ms: None,
             runs: BTreeMap::new(),
             ended: Vec::new(),
             last_end_number: 0,
@@ -143,10 +109,9 @@
         used
     }
 
-    fn end(&mut self, task: TaskId, end: RunEnd) {
-        let Some(run) = self.runs.remove(&task) else {
-            return;
-        };
+    /// Ends the run of a task and returns its number.
+    fn end(&mut self, task: TaskId, end: RunEnd) -> Option<u32> {
+        let run = self.runs.remove(&task)?;
         self.last_end_number += 1;
         let last_stale = self.stale_runs.entry(task).or_insert(0);
         *last_stale = (*last_stale).max(run.number);
@@ -157,6 +122,7 @@
             end,
             checkpoint: checkpoint(&run),
         });
+        Some(run.number)
     }
 }
 
@@ -184,6 +150,10 @@
     pub trace: Vec<String>,
     /// The run of each task whose success the caller has acknowledged.
     acknowledged_runs: BTreeMap<TaskId, u32>,
+    /// The successful runs.
+    successes: BTreeMap<(TaskId, u32), Success>,
+    /// The length of the trace at the last start of each task.
+    last_starts: BTreeMap<TaskId, usize>,
 }
 
 impl Pool {
@@ -243,6 +213,7 @@
             stop_at_ms: None,
         };
         let earlier_run = node.runs.insert(start.task, run);
+        self.last_starts.insert(start.task, self.trace.len());
         self.trace.push(format!(
             "{now_ms} start {}/{} {agent}",
             start.task, start.run
@@ -253,27 +224,10 @@
                 start.task
             ));
         }
-        self.check_duplicate(start.task, start.run);
+        self.check_start(start.task, start.run);
         StartOutcome::Running { clock_ms }
     }
 
-    fn check_duplicate(&mut self, task: TaskId, run: u32) {
-        let running =
-            self.nodes.values().filter(|n| n.runs.contains_key(&task));
-        if running.count() > 1 {
-            self.record_violation(format!("{task} runs more than once"));
-        }
-        if self.acknowledged_runs.get(&task).is_some_and(|_| true) {
-            self.record_violation(format!(
-                "{task}/{run} starts after it was done"
-            ));
-        }
-    }
-
-    fn record_violation(&mut self, text: String) {
-        self.violations.push(Violation(text));
-    }
-
     /// Stops a run at an upstream. If the run is not there, it can no longer
     /// be started there either.
     pub fn stop(
@@ -304,7 +258,7 @@
 
     /// Extends the lease of an upstream's runs to `deadline_ms`, drops the
     /// ended runs up to the number `acknowledged`, and returns the active runs
-    /// and the remaining ended ones.
+    /// and the first [`MAX_LISTED_ENDS`] of the remaining ended ones.
     ///
     /// Returns `None` if the agent is unknown or `token` is fenced.
     pub fn hold(
@@ -325,24 +279,29 @@
             let lease = deadline.min(clock_ms + MAX_LEASE_MS);
             node.lease_end_ms = node.lease_end_ms.max(lease);
         }
-        for ended in &node.ended {
-            if ended.number <= acknowledged && ended.end == RunEnd::Done {
-                self.acknowledged_runs.insert(ended.task, ended.run);
-            }
-        }
-        node.ended.retain(|e| e.number > acknowledged);
+        let last_expiry_ms = node.last_expiry_ms;
+        let is_acknowledged = |e: &EndedRun| e.number <= acknowledged;
+        let (forgotten, open): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut node.ended)
+                .into_iter()
+                .partition(is_acknowledged);
+        node.ended = open;
         let running = node.runs.iter().map(|(task, run)| ActiveRun {
             task: *task,
             run: run.number,
             checkpoint: checkpoint(run),
             percent: percent(run),
         });
-        Some(Snapshot {
+        let snapshot = Snapshot {
             born_ms: node.upstream.incarnation.born_ms,
             clock_ms,
             running: running.collect(),
-            ended: node.ended.clone(),
-        })
+            ended: node.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+        };
+        for ended in forgotten {
+            self.record_acknowledgement(&ended, last_expiry_ms);
+        }
+        Some(snapshot)
     }
 
     /// Advances all runs by `step_ms` and ends those that are over at
@@ -395,6 +354,11 @@
 
     fn end_finished_runs(&mut self, now_ms: u64) {
         let mut ends = Vec::new();
+        for node in self.nodes.values_mut() {
+            if node.clock(now_ms) > node.lease_end_ms {
+                node.last_expiry_ms = Some(now_ms);
+            }
+        }
         for (agent, node) in &self.nodes {
             let clock = node.clock(now_ms);
             for (task, run) in &node.runs {
@@ -433,12 +397,16 @@
         task: TaskId,
         end: RunEnd,
     ) {
-        if let Some(node) = self.nodes.get_mut(agent) {
-            node.end(task, end);
-            let outcome = end.name();
-            self.trace
-                .push(format!("{now_ms} {outcome} {task} {agent}"));
+        let Some(node) = self.nodes.get_mut(agent) else {
+            return;
+        };
+        let run = node.end(task, end);
+        if let (Some(run), RunEnd::Done) = (run, end) {
+            self.record_success(now_ms, task, run);
         }
+        let outcome = end.name();
+        self.trace
+            .push(format!("{now_ms} {outcome} {task} {agent}"));
     }
 
     /// Ends gangs: a gang whose members have all completed their work is done,
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -88,6 +88,8 @@
     WorkerProbed 1506 Info "a quarantined worker is given work again as a probe",
     UpstreamReplaced 1507 Warn "another incarnation took the place of an agent's upstream",
     HeartbeatRefused 1508 Warn "an agent refused a heartbeat, which changed nothing",
+    EndsIncomplete 1509 Warn "an upstream has more ended runs than it lists at a time, so runs that it does not list are not given up",
+    EndsComplete 1510 Info "an upstream lists all its ended runs again",
     JobAccepted 2001 Debug "an entry accepted a job",
     JobRefused 2002 Info "an entry or the coordinator refused a job; it was not run",
     JobQueued 2003 Debug "the coordinator queued a job",
--- a/crates/state/src/runner.rs
+++ b/crates/state/src/runner.rs
@@ -95,8 +95,8 @@
     pub checkpoint: String,
 }
 
-/// A snapshot of all active runs of an upstream and of its ended runs that are
-/// not acknowledged yet.
+/// A snapshot of all active runs of an upstream and of its first ended runs
+/// that are not acknowledged yet.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Snapshot {
     /// When the upstream that gave the snapshot started, in milliseconds since
@@ -106,10 +106,24 @@
     pub clock_ms: u64,
     /// The runs that are active or being stopped.
     pub running: Vec<ActiveRun>,
-    /// The runs that have ended and are not acknowledged yet.
+    /// The runs that have ended and are not acknowledged yet, at most
+    /// [`Self::MAX_ENDED`] of them. Further ones follow once these are
+    /// acknowledged.
     pub ended: Vec<EndedRun>,
 }
 
+impl Snapshot {
+    /// The maximum number of ended runs in a snapshot.
+    pub const MAX_ENDED: usize = 500;
+
+    /// Returns whether the snapshot certainly has all ended runs that are not
+    /// acknowledged yet. Otherwise a run that it lacks may have ended.
+    #[must_use]
+    pub const fn lists_all_ends(&self) -> bool {
+        self.ended.len() < Self::MAX_ENDED
+    }
+}
+
 /// An order to start a run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StartOrder {
--- a/tests/upstream_ends.rs
+++ b/tests/upstream_ends.rs
@@ -5,7 +5,9 @@
 
 use figrill_standin::{
     platform::{
+        client::job,
         site::Site,
+        store::Outage,
         workers::{Successor, Workers},
     },
     process::wait_for,
@@ -126,3 +128,49 @@
     assert_eq!(there.count(), 1);
     site.assert_no_violations();
 }
+
+/// Sets the outage of the store for all processes.
+fn set_outage(site: &Site, outage: Outage) {
+    for member in site.entries.iter().chain(&site.agents) {
+        member.store_endpoint.faults().outage = outage;
+    }
+}
+
+// Guards against tasks that are started again because their ends are beyond
+// the first 500, and so in no list yet.
+#[test]
+fn tasks_whose_ends_are_not_listed_yet_are_not_started_again() {
+    const JOBS: u32 = 6;
+    const TASKS: u32 = 90;
+    let site = start_site(1, 1);
+    let mut small_tasks = job(TASKS, 0, 4000, false);
+    small_tasks["spec"] = "ms=4000 cpu=10 mem=10".into();
+    small_tasks["steps"][0]["cpu"] = 10.into();
+    small_tasks["steps"][0]["mem_mb"] = 10.into();
+    for id in 1..=u64::from(JOBS) {
+        let answer = site.client.submit(site.entry(0), id, &small_tasks);
+        assert_eq!(answer.status, 200);
+    }
+    let starts = || {
+        (1..=u64::from(JOBS))
+            .map(|id| site.starts(id))
+            .sum::<usize>()
+    };
+    let all_tasks = (JOBS * TASKS) as usize;
+    wait_for("all tasks to start", WAIT_LIMIT, || {
+        (starts() == all_tasks).then_some(())
+    });
+    set_outage(&site, Outage::Refusing);
+    wait_for("all tasks to end", 2 * WAIT_LIMIT, || {
+        let pool = site.workers.pool();
+        let of_jobs = |l: &&String| l.contains(" done 000000000000000");
+        let done = pool.trace.iter().filter(of_jobs).count();
+        (done == all_tasks).then_some(())
+    });
+    set_outage(&site, Outage::None);
+    for id in 1..=u64::from(JOBS) {
+        site.wait_for_state(0, id, "done", 2 * WAIT_LIMIT);
+    }
+    assert_eq!(starts(), all_tasks);
+    site.assert_no_violations();
+}
