Keep commits within the store's limits, and go on after a rejection

Cause: constants bounded the jobs and removals of a commit, and allowed 33 entries where the store accepts 32. The store's 400 counted as a refusal that passes, so the commit was sent again without end.

TxnBuilder refuses what is beyond the limits, and a commit is filled until it does. A rejection is told from a refusal. A rejected commit is written in parts until the job that causes it is alone; that one ends, with a record of its state only. A submission whose record is too large is answered 400 at once.

The simulated store applies the transactions now and keeps the limits of 32 entries and 1 MiB.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -10,7 +10,7 @@
 //! records to write ([`Scheduler::take_commit`]).
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -105,7 +105,7 @@
     /// Jobs whose progress has still to be put into a commit.
     dirty: BTreeSet<BatchId>,
     /// Ended jobs whose records are still to be removed from the store.
-    removals: Vec<BatchId>,
+    removals: VecDeque<BatchId>,
     /// Whether the number of queued jobs may have changed since the last
     /// commit.
     queued_changed: bool,
@@ -143,7 +143,7 @@
             workers: BTreeMap::new(),
             workspaces: BTreeMap::new(),
             dirty: BTreeSet::new(),
-            removals: Vec::new(),
+            removals: VecDeque::new(),
             queued_changed: true,
             commit_state: commit::CommitState::default(),
             run_times: RunTimeEstimator::default(),
@@ -366,7 +366,7 @@
             .collect();
         for id in expired {
             self.ended_jobs.remove(&id);
-            self.removals.push(id);
+            self.removals.push_back(id);
         }
     }
 
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -3,30 +3,29 @@
 //! A start is ordered, and an end acknowledged, only after the commit that
 //! contains it has succeeded. Changes that are made while a commit is in
 //! flight are collected for the next one. The caller retries a commit until
-//! it succeeds or the coordinator's term ends, so a commit has no failure to
-//! handle here.
+//! it succeeds, the store rejects it or the coordinator's term ends.
+//!
+//! A rejected commit would be rejected again. Its contents are then committed
+//! in parts, half as many at a time, so that all but the cause get through. A
+//! job that alone makes up a rejected commit ends.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use figrill_state::{
-    batch::{BatchId, BatchState, Progress, TaskId},
-    event::Code,
+    batch::{BatchId, BatchState, Ledger, TaskId, encode, keys},
+    event::{Code, NewEvent},
+    kv::{Txn, TxnBuilder, TxnError},
     runner::StartOrder,
 };
 
 use super::{
-    Now, START_WINDOW, Scheduler,
+    Action, Now, START_WINDOW, Scheduler,
     job::Phase,
     message::{Grant, ToAgent},
 };
 
-/// The maximum number of jobs in one commit. The store accepts 32 conditions,
-/// writes and removals per transaction, and a commit has one write per job,
-/// one more write, two conditions and the removals.
-const MAX_JOBS: usize = 24;
-
-/// The maximum number of jobs whose records one commit removes. Each has two
-/// keys to remove.
+/// The maximum number of jobs whose records one commit removes. They must not
+/// delay the progress of other jobs.
 const MAX_REMOVALS: usize = 3;
 
 /// The contents of one transaction.
@@ -34,12 +33,28 @@
 pub struct Commit {
     /// The number of the commit; increases by one with each commit.
     pub number: u64,
-    /// The current progress of each job that has changed.
-    pub progress: Vec<(BatchId, Progress)>,
-    /// Jobs whose records are to be removed.
-    pub removals: Vec<BatchId>,
-    /// The number of jobs of which no task has started, by queue.
-    pub queued_jobs: BTreeMap<String, u64>,
+    /// The transaction, without the condition on the ledger's revision.
+    txn: Txn,
+}
+
+impl Commit {
+    /// Returns the transaction. It is conditional on the revision of the
+    /// ledger, which it changes, and on that of the coordinator's key, so it
+    /// is applied at most once and only under this term.
+    #[must_use]
+    pub fn transaction(&self, ledger_revision: u64) -> Txn {
+        let mut txn = self.txn.clone();
+        let ledger = keys::LEDGER.to_owned();
+        txn.conditions.push((ledger, ledger_revision));
+        txn
+    }
+
+    /// Returns whether `value` is the ledger that this commit writes.
+    #[must_use]
+    pub fn wrote_ledger(&self, value: &[u8]) -> bool {
+        let mut puts = self.txn.puts.iter();
+        puts.any(|(key, written, _)| key == keys::LEDGER && written == value)
+    }
 }
 
 /// The number of the latest commit, and the commit that is in flight, if any.
@@ -47,29 +62,46 @@
 pub(super) struct CommitState {
     number: u64,
     in_flight: Option<InFlight>,
+    /// The maximum number of jobs in the next commit; `None` unless an earlier
+    /// one was rejected.
+    max_jobs: Option<usize>,
 }
 
 #[derive(Debug)]
 struct InFlight {
     number: u64,
     jobs: Vec<BatchId>,
+    /// Jobs whose records it removes.
+    removals: Vec<BatchId>,
     /// Ends of runs that it contains: agent, `born_ms` of the upstream's
     /// incarnation, and number of the end.
     ends: Vec<(String, u64, u64)>,
 }
 
+impl InFlight {
+    /// Returns the number of jobs that the commit is about.
+    fn len(&self) -> usize {
+        self.jobs.len() + self.removals.len()
+    }
+}
+
 impl CommitState {
     /// Returns whether the commit in flight contains a job.
     pub(super) fn includes(&self, id: BatchId) -> bool {
         let jobs = self.in_flight.as_ref().map(|c| &c.jobs);
         jobs.is_some_and(|jobs| jobs.contains(&id))
     }
+
+    /// Returns the number of jobs that the next commit may contain.
+    fn max_jobs(&self) -> usize {
+        self.max_jobs.unwrap_or(Txn::MAX_ENTRIES)
+    }
 }
 
 impl Scheduler {
     /// Returns the next commit. Returns `None` while one is in flight or if
     /// nothing has changed.
-    pub fn take_commit(&mut self) -> Option<Commit> {
+    pub fn take_commit(&mut self, now: Now) -> Option<Commit> {
         let is_clean = self.dirty.is_empty()
             && self.removals.is_empty()
             && !self.queued_changed;
@@ -79,31 +111,90 @@
         self.queued_changed = false;
         self.commit_state.number += 1;
         let number = self.commit_state.number;
-        let jobs: Vec<BatchId> =
-            self.dirty.iter().copied().take(MAX_JOBS).collect();
-        let mut progress = Vec::new();
-        for id in &jobs {
-            self.dirty.remove(id);
-            let Some(job) = self.jobs.get_mut(id) else {
+        // One entry is for the condition on the ledger.
+        let mut txn = TxnBuilder::with_reserved(1);
+        if let Err(e) = self.add_ledger(&mut txn, number) {
+            self.record_rejection(number, 0, &e.to_string());
+        }
+        let removals = self.add_removals(&mut txn);
+        let jobs = self.add_progress(now, &mut txn, number, removals.len());
+        let ends = self.uncommitted_ends_of(&jobs);
+        self.commit_state.in_flight = Some(InFlight {
+            number,
+            jobs,
+            removals,
+            ends,
+        });
+        let txn = txn.build();
+        Some(Commit { number, txn })
+    }
+
+    /// Adds the record that identifies the commit, and the condition that the
+    /// term has not ended.
+    fn add_ledger(
+        &self,
+        txn: &mut TxnBuilder,
+        number: u64,
+    ) -> Result<(), TxnError> {
+        let ledger = Ledger {
+            token: self.token,
+            commit: number,
+            waiting: self.queued_jobs(),
+        };
+        txn.condition(keys::COORDINATOR, self.token)?;
+        txn.put(keys::LEDGER, encode(&ledger))
+    }
+
+    /// Adds removals of the records of jobs, and returns these jobs.
+    fn add_removals(&mut self, txn: &mut TxnBuilder) -> Vec<BatchId> {
+        let max_removals = MAX_REMOVALS.min(self.commit_state.max_jobs());
+        let mut removals = Vec::new();
+        while removals.len() < max_removals
+            && let Some(id) = self.removals.front().copied()
+            && txn.remove([keys::job(id), keys::progress(id)]).is_ok()
+        {
+            self.removals.pop_front();
+            removals.push(id);
+        }
+        removals
+    }
+
+    /// Adds the progress of jobs that have changed, and returns these jobs. The
+    /// commit already contains `others` jobs. A job whose record is too large
+    /// ends.
+    fn add_progress(
+        &mut self,
+        now: Now,
+        txn: &mut TxnBuilder,
+        number: u64,
+        others: usize,
+    ) -> Vec<BatchId> {
+        let mut jobs = Vec::new();
+        while jobs.len() + others < self.commit_state.max_jobs()
+            && let Some(id) = self.dirty.first().copied()
+        {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                self.dirty.remove(&id);
                 continue;
             };
+            let record = encode(&job.stored_progress());
+            match txn.put(keys::progress(id), record) {
+                Ok(()) => {}
+                Err(TxnError::Full) => break,
+                Err(e) => {
+                    self.end_unstorable_job(now, id, &e.to_string());
+                    continue;
+                }
+            }
             for run in job.runs.values_mut() {
                 if let Phase::Committing { commit } = &mut run.phase {
                     *commit = Some(number);
                 }
             }
-            progress.push((*id, job.progress.clone()));
+            self.dirty.remove(&id);
+            jobs.push(id);
         }
-        let removable = self.removals.len().min(MAX_REMOVALS);
-        let removals = self.removals.drain(..removable).collect();
-        let ends = self.uncommitted_ends_of(&jobs);
-        self.commit_state.in_flight = Some(InFlight { number, jobs, ends });
-        Some(Commit {
-            number,
-            progress,
-            removals,
-            queued_jobs: self.queued_jobs(),
-        })
+        jobs
     }
 
     /// Handles the success of a commit: acknowledges the ends that it
@@ -113,6 +204,9 @@
         let Some(commit) = in_flight.filter(|c| c.number == number) else {
             return;
         };
+        let max_jobs = self.commit_state.max_jobs.map(|n| 2 * n);
+        self.commit_state.max_jobs =
+            max_jobs.filter(|n| *n < Txn::MAX_ENTRIES);
         let mut agents = BTreeSet::new();
         for (agent, born_ms, end) in commit.ends {
             let Some(worker) = self.workers.get_mut(&agent) else {
@@ -131,6 +225,65 @@
         }
     }
 
+    /// Handles a commit that the store will never accept. Its contents are
+    /// committed again in smaller parts. If it was about one job, that job
+    /// ends, or its records are left in the store.
+    pub fn commit_rejected(&mut self, now: Now, number: u64, why: &str) {
+        let in_flight = self.commit_state.in_flight.take();
+        let Some(commit) = in_flight.filter(|c| c.number == number) else {
+            return;
+        };
+        self.record_rejection(number, commit.len(), why);
+        self.queued_changed = true;
+        match (&commit.jobs[..], &commit.removals[..]) {
+            ([id], []) => self.end_unstorable_job(now, *id, why),
+            ([], [id]) => {
+                let detail = format!("what=removal why={why}");
+                self.record_event(Code::RecordRejected, *id, &detail);
+            }
+            _ => {
+                let half = (commit.len() / 2).max(1);
+                self.commit_state.max_jobs = Some(half);
+                self.dirty.extend(commit.jobs);
+                for id in commit.removals.into_iter().rev() {
+                    self.removals.push_front(id);
+                }
+            }
+        }
+    }
+
+    fn record_rejection(&mut self, number: u64, jobs: usize, why: &str) {
+        let detail = format!("commit={number} jobs={jobs} why={why}");
+        let event = NewEvent::new(Code::CommitRejected, detail);
+        self.actions.push(Action::RecordEvent(event));
+    }
+
+    /// Ends a job whose progress the store does not accept, so that all other
+    /// jobs go on. From then on its record has only its state.
+    fn end_unstorable_job(&mut self, now: Now, id: BatchId, why: &str) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.dirty.remove(&id);
+            return;
+        };
+        if job.is_unstorable {
+            // There is no smaller record, so this one is given up.
+            self.dirty.remove(&id);
+            let detail = format!("what=state why={why}");
+            self.record_event(Code::RecordRejected, id, &detail);
+            return;
+        }
+        job.is_unstorable = true;
+        if !job.progress.state.is_final() {
+            job.progress.state = BatchState::Failed;
+            job.progress.ended_ms = now.wall_ms;
+        }
+        let state = job.progress.state;
+        let detail = format!("what=progress state={state:?} why={why}");
+        self.record_event(Code::RecordRejected, id, &detail);
+        self.dirty.insert(id);
+        self.request_job_stop(id);
+    }
+
     /// Sends an agent the number up to which its ends of runs are committed.
     fn send_acknowledgement(&mut self, agent: &str) {
         let Some(worker) = self.workers.get(agent) else {
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -1,7 +1,7 @@
 //! The scheduler's view of one job: its record, its progress and its current
 //! runs.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{borrow::Cow, collections::BTreeMap, time::Duration};
 
 use figrill_state::batch::{
     Batch, BatchState, Incarnation, Placement, Progress, Step, TaskId,
@@ -70,6 +70,8 @@
     /// Agents where a task of this job failed or got stuck. Placement avoids
     /// them while there are others.
     pub(super) excluded_agents: Vec<String>,
+    /// Whether the store does not accept the job's progress.
+    pub(super) is_unstorable: bool,
 }
 
 impl Job {
@@ -80,9 +82,22 @@
             runs: BTreeMap::new(),
             ready_at: BTreeMap::new(),
             excluded_agents: Vec::new(),
+            is_unstorable: false,
         }
     }
 
+    /// Returns the progress that is written to the store.
+    pub(super) fn stored_progress(&self) -> Cow<'_, Progress> {
+        if !self.is_unstorable {
+            return Cow::Borrowed(&self.progress);
+        }
+        Cow::Owned(Progress {
+            state: self.progress.state,
+            tasks: BTreeMap::new(),
+            ended_ms: self.progress.ended_ms,
+        })
+    }
+
     /// Returns the progress of a task, and creates it if there is none yet.
     /// Returns `None` for a task that the job does not have.
     pub(super) fn task_mut(
--- a/crates/coordination/tests/ended_incarnations.rs
+++ b/crates/coordination/tests/ended_incarnations.rs
@@ -108,7 +108,7 @@
         while self.now.monotonic < end {
             self.now.monotonic += TICK;
             self.scheduler.tick(self.now);
-            if let Some(commit) = self.scheduler.take_commit() {
+            if let Some(commit) = self.scheduler.take_commit(self.now) {
                 self.scheduler.commit_done(self.now, commit.number);
             }
             for action in self.scheduler.take_actions() {
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 //! was acknowledged.
 
 mod claims;
+mod commits;
 mod coordinators;
 mod drains;
 mod ends;
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -53,6 +53,10 @@
     pub token: u64,
     /// Whether the store accepts commits.
     pub store_up: bool,
+    /// The maximum number of entries in a transaction.
+    pub max_entries: usize,
+    /// The maximum length of a value in the store, in bytes.
+    pub max_value_bytes: usize,
     /// Whether the coordinator's actions are dropped, as they are while its
     /// lease may have expired.
     pub paused: bool,
@@ -100,6 +104,8 @@
             faults: Faults::default(),
             token: 0,
             store_up: true,
+            max_entries: 32,
+            max_value_bytes: 1 << 20,
             paused: false,
             start_orders: Vec::new(),
             quarantines: Vec::new(),
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -22,6 +22,9 @@
     Report(String, Box<Report>),
     /// The store's answer to the commit of this number.
     Committed(u64),
+    /// The store's answer to the commit of this number, which it rejects for
+    /// this reason.
+    CommitRejected(u64, String),
 }
 
 impl Sim {
@@ -95,6 +98,11 @@
                 self.scheduler.commit_done(now, number);
                 self.send_actions();
             }
+            Message::CommitRejected(number, why) if token == self.token => {
+                let now = self.now();
+                self.scheduler.commit_rejected(now, number, &why);
+                self.send_actions();
+            }
             Message::Report(agent, report) if token == self.token => {
                 let now = self.now();
                 self.scheduler.handle_report(now, &agent, *report);
@@ -116,5 +124,10 @@
 /// Returns whether a message is for the coordinator that it was sent to, and
 /// not for any later one.
 pub(super) fn is_for_coordinator(message: &Message) -> bool {
-    matches!(message, Message::Report(..) | Message::Committed(_))
+    matches!(
+        message,
+        Message::Report(..)
+            | Message::Committed(_)
+            | Message::CommitRejected(..)
+    )
 }
--- a/crates/coordination/tests/fleet/sim/store.rs
+++ b/crates/coordination/tests/fleet/sim/store.rs
@@ -4,8 +4,9 @@
 use std::collections::BTreeMap;
 
 use figrill_coordination::scheduler::Scheduler;
-use figrill_state::batch::{Batch, BatchId, BatchState};
+use figrill_state::batch::{Batch, BatchId, BatchState, Ledger, decode, keys};
 use figrill_state::catalog::Workspace;
+use figrill_state::kv::Txn;
 use figrill_state::limits::Limits;
 
 use super::messages::{Message, is_for_coordinator};
@@ -65,6 +66,11 @@
             .map_or(BatchState::Queued, |p| p.state)
     }
 
+    /// Returns whether the store has a record of a job's progress.
+    pub fn has_record(&self, id: BatchId) -> bool {
+        self.progress.contains_key(&id)
+    }
+
     /// Returns the committed number of waiting jobs of the only queue, which is
     /// what callers see.
     pub fn queued_jobs(&self) -> u64 {
@@ -80,19 +86,51 @@
     /// commit is kept until it is.
     pub(super) fn write_commit(&mut self) {
         if self.commit.is_none() {
-            self.commit = self.scheduler.take_commit();
+            self.commit = self.scheduler.take_commit(self.now());
         }
         if !self.store_up {
             return;
         }
         if let Some(commit) = self.commit.take() {
             let number = commit.number;
-            for (id, progress) in commit.progress {
+            let message = match self.apply(&commit.transaction(0)) {
+                Ok(()) => Message::Committed(number),
+                Err(why) => Message::CommitRejected(number, why),
+            };
+            self.send(STEP_MS, message);
+        }
+    }
+
+    /// Applies a transaction, or rejects it like the platform's store: beyond
+    /// 32 entries or 1 MiB of a value. A test may set lower limits.
+    fn apply(&mut self, txn: &Txn) -> Result<(), String> {
+        let entries =
+            txn.conditions.len() + txn.puts.len() + txn.removes.len();
+        let longest = txn.puts.iter().map(|(_, value, _)| value.len()).max();
+        if entries > self.max_entries {
+            return Err(format!("{entries} entries"));
+        }
+        if longest.is_some_and(|bytes| bytes > self.max_value_bytes) {
+            return Err(format!("a value of {longest:?} bytes"));
+        }
+        for (key, value, _) in &txn.puts {
+            if let Some(id) = key.strip_prefix(keys::PROGRESS) {
+                let id = BatchId::parse(id).expect("a job id");
+                let progress = decode(value).expect("a record");
                 self.progress.insert(id, progress);
+            } else if key == keys::LEDGER {
+                let ledger: Ledger = decode(value).expect("a ledger");
+                self.queued_jobs = ledger.waiting;
+            }
+        }
+        for key in &txn.removes {
+            if let Some(id) = key.strip_prefix(keys::PROGRESS) {
+                let id = BatchId::parse(id).expect("a job id");
+                self.progress.remove(&id);
+                self.batches.remove(&id);
             }
-            self.queued_jobs = commit.queued_jobs;
-            self.send(STEP_MS, Message::Committed(number));
         }
+        Ok(())
     }
 }
 
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -232,6 +232,10 @@
                 Reply::Accepted
             }
             WriteOutcome::Existing => Reply::Accepted,
+            WriteOutcome::Rejected => Reply::Malformed(
+                "the job is too large for the store; submit less at a time"
+                    .to_owned(),
+            ),
             WriteOutcome::NotApplied | WriteOutcome::NotFound
                 if !self.mesh.may_have_pending_write(id) =>
             {
@@ -289,9 +293,11 @@
             }
             WriteOutcome::NotFound => Reply::NoSuchJob,
             WriteOutcome::Unknown => Reply::Unsettled,
-            WriteOutcome::NotApplied => Reply::TryLater {
-                retry_after_s: RETRY_AFTER_S,
-            },
+            WriteOutcome::NotApplied | WriteOutcome::Rejected => {
+                Reply::TryLater {
+                    retry_after_s: RETRY_AFTER_S,
+                }
+            }
         }
     }
 
@@ -319,9 +325,9 @@
 const fn write_result(outcome: WriteOutcome) -> WriteResult {
     match outcome {
         WriteOutcome::Applied | WriteOutcome::Existing => WriteResult::Stored,
-        WriteOutcome::NotApplied | WriteOutcome::NotFound => {
-            WriteResult::NotApplied
-        }
+        WriteOutcome::NotApplied
+        | WriteOutcome::Rejected
+        | WriteOutcome::NotFound => WriteResult::NotApplied,
         WriteOutcome::Unknown => WriteResult::Unanswered,
     }
 }
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -100,6 +100,8 @@
     AgentRemoved(String),
     /// The commit with this number is in the store.
     Committed(u64),
+    /// The store will not accept the commit with this number, for this reason.
+    CommitRejected(u64, String),
 }
 
 impl CoordinatorHandle {
@@ -286,7 +288,7 @@
             let actions = scheduler.take_actions();
             if valid {
                 self.perform_all(actions);
-                if let Some(commit) = scheduler.take_commit() {
+                if let Some(commit) = scheduler.take_commit(self.now()) {
                     // The scheduler has at most one commit in flight, so the
                     // queue has space.
                     let _ = commits.send(commit);
@@ -396,6 +398,9 @@
             StoreInput::Committed(number) => {
                 scheduler.commit_done(now, number);
             }
+            StoreInput::CommitRejected(number, why) => {
+                scheduler.commit_rejected(now, number, &why);
+            }
         }
     }
 
--- a/crates/node/src/fleet/lead/calls.rs
+++ b/crates/node/src/fleet/lead/calls.rs
@@ -10,8 +10,8 @@
 use crossbeam::channel::{RecvTimeoutError, Sender, bounded};
 use figrill_coordination::scheduler::Commit;
 use figrill_state::{
-    batch::{Ledger, decode, encode, keys},
-    kv::{Change, KvError, Txn},
+    batch::keys,
+    kv::{Change, KvError},
 };
 
 use super::{
@@ -111,8 +111,8 @@
 }
 
 /// Starts the thread that writes commits, one at a time, and returns its
-/// queue. Each commit is retried until it is in the store or the term has
-/// ended.
+/// queue. Each commit is retried until it is in the store, the store rejects
+/// it or the term has ended.
 pub(super) fn start_commits(
     term: &Arc<Term>,
     ledger_revision: u64,
@@ -128,10 +128,12 @@
                 Err(RecvTimeoutError::Timeout) => continue,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            let number = commit.number;
-            if !write_commit(&term, &commit, &mut ledger_revision)
-                || tx.send(StoreInput::Committed(number)).is_err()
-            {
+            let Some(written) =
+                write_commit(&term, &commit, &mut ledger_revision)
+            else {
+                return;
+            };
+            if tx.send(written).is_err() {
                 return;
             }
         }
@@ -140,57 +142,44 @@
     Ok(commits)
 }
 
-/// Writes one commit. Returns `false` if the term has ended. The transaction
-/// is conditional on the revisions of the ledger, which it changes, and of the
-/// coordinator's key, so it is applied at most once and only under this term.
+/// Writes one commit, and returns what became of it; `None` if the term has
+/// ended.
 fn write_commit(
     term: &Term,
     commit: &Commit,
     ledger_revision: &mut u64,
-) -> bool {
-    let record = Ledger {
-        token: term.token,
-        commit: commit.number,
-        waiting: commit.queued_jobs.clone(),
-    };
-    let mut txn =
-        Txn::compare_and_swap(keys::LEDGER, *ledger_revision, encode(&record));
-    let coordinator = keys::COORDINATOR.to_owned();
-    txn.conditions.push((coordinator, term.token));
-    for (id, progress) in &commit.progress {
-        txn.puts.push((keys::progress(*id), encode(progress), None));
-    }
-    for id in &commit.removals {
-        txn.removes.push(keys::job(*id));
-        txn.removes.push(keys::progress(*id));
-    }
+) -> Option<StoreInput> {
+    let txn = commit.transaction(*ledger_revision);
     while !term.ended.load(Ordering::Relaxed) {
         match term.kv.commit(&txn, STORE_TIMEOUT) {
             Ok(revision) => {
                 *ledger_revision = revision;
-                return true;
+                return Some(StoreInput::Committed(commit.number));
             }
             Err(KvError::Conflict(items)) => {
                 let own_ledger = items.iter().find(|i| {
-                    i.key == keys::LEDGER
-                        && decode::<Ledger>(&i.value).ok().as_ref()
-                            == Some(&record)
+                    i.key == keys::LEDGER && commit.wrote_ledger(&i.value)
                 });
                 if let Some(item) = own_ledger {
                     // An earlier attempt was applied, but its answer was lost.
                     *ledger_revision = item.revision;
-                    return true;
+                    return Some(StoreInput::Committed(commit.number));
                 }
                 log::warn!(
                     "the conditions of a commit failed; ending this term"
                 );
                 term.ended.store(true, Ordering::Relaxed);
             }
+            Err(KvError::Rejected(why)) => {
+                // Not at once: an empty commit may be the one that is rejected.
+                thread::sleep(STORE_RETRY_DELAY);
+                return Some(StoreInput::CommitRejected(commit.number, why));
+            }
             Err(e) => {
                 log::debug!("failed to write a commit; retrying: {e}");
                 thread::sleep(STORE_RETRY_DELAY);
             }
         }
     }
-    false
+    None
 }
--- a/crates/node/src/fleet/stored.rs
+++ b/crates/node/src/fleet/stored.rs
@@ -23,6 +23,8 @@
     NotFound,
     /// No attempt was applied, and none will be.
     NotApplied,
+    /// The store does not accept the record, nor will it ever.
+    Rejected,
     /// An attempt was not answered. It may have been applied, or may still be.
     Unknown,
 }
@@ -71,6 +73,14 @@
             // An earlier attempt, or an earlier submission of the same job,
             // has written the record.
             Err(KvError::Conflict(_)) => return WriteOutcome::Existing,
+            // An earlier attempt without an answer was rejected as well.
+            Err(KvError::Rejected(why)) => {
+                log::warn!(
+                    "the record of job {} is rejected: {why}",
+                    batch.id
+                );
+                return WriteOutcome::Rejected;
+            }
             Err(KvError::Unanswered(_)) => uncertain = true,
             Err(e) => log::debug!("failed to store a job: {e}"),
         }
--- a/crates/protocol/src/wire/entry.rs
+++ b/crates/protocol/src/wire/entry.rs
@@ -167,6 +167,7 @@
     Compacted,
     Refused(String),
     Unanswered(String),
+    Rejected(String),
 }
 
 fn convert_all<W, T: From<W>>(list: Vec<W>) -> Vec<T> {
@@ -197,6 +198,7 @@
             Err(KvError::Compacted) => Self::Compacted,
             Err(KvError::Refused(reason)) => Self::Refused(reason),
             Err(KvError::Unanswered(reason)) => Self::Unanswered(reason),
+            Err(KvError::Rejected(reason)) => Self::Rejected(reason),
         }
     }
 }
@@ -235,6 +237,7 @@
             StoreResult::Unanswered(reason) => {
                 Err(KvError::Unanswered(reason))
             }
+            StoreResult::Rejected(reason) => Err(KvError::Rejected(reason)),
         }
     }
 }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -368,9 +368,11 @@
     for key in value["remove"].as_array()? {
         txn.removes.push(text(key)?);
     }
-    // The store accepts at most 32 operations in a transaction.
+    // The store accepts at most 32 operations in a transaction, and values of
+    // at most 1 MiB.
     let operations = txn.conditions.len() + txn.puts.len() + txn.removes.len();
-    (operations <= 32).then_some(txn)
+    let values_fit = txn.puts.iter().all(|(_, v, _)| v.len() <= 1 << 20);
+    (operations <= 32 && values_fit).then_some(txn)
 }
 
 fn grant(kv: &MemoryKv, call: &Call) -> Reply {
--- a/crates/state/src/kv.rs
+++ b/crates/state/src/kv.rs
@@ -7,6 +7,9 @@
 
 pub mod call;
 pub mod memory;
+mod txn;
+
+pub use txn::{Txn, TxnBuilder, TxnError};
 
 /// The identifier of a lease in the store.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -53,32 +56,6 @@
     pub revision: u64,
 }
 
-/// A transaction: a write that is applied atomically or not at all.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Txn {
-    /// Keys and the revision that each must have; 0 means that the key must
-    /// not exist.
-    pub conditions: Vec<(String, u64)>,
-    /// Keys and values to write, each with the lease it is attached to, if
-    /// any.
-    pub puts: Vec<(String, Vec<u8>, Option<LeaseId>)>,
-    /// Keys to remove.
-    pub removes: Vec<String>,
-}
-
-impl Txn {
-    /// Returns a transaction that writes one key on the condition that it
-    /// has `revision`; 0 means that the key must not exist.
-    #[must_use]
-    pub fn compare_and_swap(key: &str, revision: u64, value: Vec<u8>) -> Self {
-        Self {
-            conditions: vec![(key.to_owned(), revision)],
-            puts: vec![(key.to_owned(), value, None)],
-            removes: Vec::new(),
-        }
-    }
-}
-
 /// Why a store call failed.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum KvError {
@@ -90,6 +67,8 @@
     Compacted,
     /// the store refused, and nothing was done: {0}
     Refused(String),
+    /// the store will never accept this call: {0}
+    Rejected(String),
     /// the store did not answer; the call may take effect even now: {0}
     Unanswered(String),
 }
@@ -97,8 +76,8 @@
 impl std::error::Error for KvError {}
 
 impl KvError {
-    /// Returns whether the store was unavailable, as opposed to reporting a
-    /// conflict, a missing lease or a compacted history.
+    /// Returns whether the store was unavailable, as opposed to rejecting the
+    /// call or reporting a conflict, a missing lease or a compacted history.
     #[must_use]
     pub const fn is_outage(&self) -> bool {
         matches!(self, Self::Refused(_) | Self::Unanswered(_))
@@ -112,7 +91,9 @@
 /// # Errors
 ///
 /// Every method returns [`KvError::Refused`] or [`KvError::Unanswered`] if
-/// the store is unavailable. Other errors are listed on the method.
+/// the store is unavailable, and [`KvError::Rejected`] if it would answer the
+/// same call in the same way at any time. Other errors are listed on the
+/// method.
 #[allow(clippy::missing_errors_doc)]
 pub trait Kv: Send + Sync {
     /// Reads a key. The result is up to date, never a stale value.
--- a/crates/state/src/kv/memory.rs
+++ b/crates/state/src/kv/memory.rs
@@ -161,6 +161,7 @@
     /// Applies a transaction at a new revision. Changes nothing if it returns
     /// an error.
     fn apply(&mut self, txn: &Txn) -> Result<u64, KvError> {
+        txn.check()?;
         let revision = |key: &str| {
             self.items.get(key).map_or(0, |stored| stored.revision)
         };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -133,6 +133,30 @@
     site.assert_no_violations();
 }
 
+// Guards against a job whose record the store never accepts, and that is
+// answered as one to send again.
+#[test]
+fn a_job_that_is_too_large_for_the_store_is_refused_for_good() {
+    const STORE_LIMIT: usize = 1 << 20;
+    let site = start_site(1, 1);
+    let entry = site.entry(0);
+    let mut large = job(1, 1, 100, false);
+    large["spec"] = "x".repeat(STORE_LIMIT - 200).into();
+    let answer = site.client.submit(entry, 1, &large);
+    assert_eq!(answer.status, 400);
+    let error = answer.body["error"].as_str().unwrap_or_default();
+    assert!(error.contains("too large"), "{}", answer.body);
+    assert!(
+        answer.latency < Duration::from_secs(1),
+        "{:?}",
+        answer.latency
+    );
+    assert_eq!(site.client.state(entry, 1), "410");
+    let small = site.client.submit(entry, 2, &job(1, 1, 100, false));
+    assert_eq!(small.status, 200);
+    site.wait_for_state(0, 2, "done", WAIT_LIMIT);
+}
+
 #[test]
 fn a_cancelled_job_stops_and_stays_cancelled() {
     let site = start_site(1, 1);
