Keep an ended job until its records are certainly gone

Cause: an ended job was forgotten when the removal of its records was queued. A reading of all records, as after each outage, then found a job that is neither open nor known as ended, and took it for a new one.

EndedJobs keeps a job until the removal is committed and every reading from before that revision has been handed over; a record that was written later is that of a new job. So no reading can show a record that the scheduler has forgotten.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -10,7 +10,7 @@
 //! records to write ([`Scheduler::take_commit`]).
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
@@ -24,11 +24,13 @@
 };
 
 use crate::learn::RunTimeEstimator;
+use ended_jobs::EndedJobs;
 use job::{Job, Phase, Run};
 use message::{Grant, Report, StartResult, ToAgent};
 use worker::{RunResult, Worker};
 
 mod commit;
+mod ended_jobs;
 mod endings;
 mod incarnations;
 mod job;
@@ -65,9 +67,6 @@
 /// hundreds of them a second.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long the records of a job are kept after its end.
-const ENDED_JOB_RETENTION_MS: u64 = 300_000;
-
 /// An output of the scheduler.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
@@ -97,15 +96,11 @@
     limits: Limits,
     started_at: Duration,
     jobs: BTreeMap<BatchId, Job>,
-    /// Jobs that have ended, with the time of their end in milliseconds
-    /// since 1970.
-    ended_jobs: BTreeMap<BatchId, u64>,
+    ended_jobs: EndedJobs,
     workers: BTreeMap<String, Worker>,
     workspaces: BTreeMap<String, Workspace>,
     /// Jobs whose progress has still to be put into a commit.
     dirty: BTreeSet<BatchId>,
-    /// Ended jobs whose records are still to be removed from the store.
-    removals: VecDeque<BatchId>,
     /// Whether the number of queued jobs may have changed since the last
     /// commit.
     queued_changed: bool,
@@ -139,11 +134,10 @@
             limits,
             started_at: now.monotonic,
             jobs: BTreeMap::new(),
-            ended_jobs: BTreeMap::new(),
+            ended_jobs: EndedJobs::default(),
             workers: BTreeMap::new(),
             workspaces: BTreeMap::new(),
             dirty: BTreeSet::new(),
-            removals: VecDeque::new(),
             queued_changed: true,
             commit_state: commit::CommitState::default(),
             run_times: RunTimeEstimator::default(),
@@ -220,14 +214,20 @@
     /// Leaves out a job whose progress can't be read. To start it afresh could
     /// run its tasks twice.
     pub fn skip_job(&mut self, id: BatchId) {
-        self.ended_jobs.insert(id, u64::MAX);
+        self.ended_jobs.insert_for_good(id);
     }
 
-    /// Handles the record of a job that was accepted or cancelled. Ignores
-    /// jobs whose end is committed; a repeated record changes nothing.
-    pub fn update_job(&mut self, now: Now, batch: Batch) {
+    /// Handles the record of a job that was accepted or cancelled, which was
+    /// written at `revision`, if that is known. Ignores jobs whose end is
+    /// committed; a repeated record changes nothing.
+    pub fn update_job(
+        &mut self,
+        now: Now,
+        batch: Batch,
+        revision: Option<u64>,
+    ) {
         let id = batch.id;
-        if self.ended_jobs.contains_key(&id) {
+        if self.ended_jobs.has_ended(id, revision) {
             return;
         }
         let cancelled = batch.cancelled;
@@ -338,7 +338,7 @@
     }
 
     /// Drops jobs whose end is committed, and schedules the removal of the
-    /// records of jobs that ended more than [`ENDED_JOB_RETENTION_MS`] ago.
+    /// records of jobs that ended long ago.
     fn remove_ended_jobs(&mut self, now: Now) {
         let ended: Vec<(BatchId, u64)> = self
             .jobs
@@ -356,18 +356,13 @@
             self.speeds.remove_job(id);
             self.ended_jobs.insert(id, ended_ms);
         }
-        let expired =
-            |at: u64| now.wall_ms > at.saturating_add(ENDED_JOB_RETENTION_MS);
-        let expired: Vec<BatchId> = self
-            .ended_jobs
-            .iter()
-            .filter(|(_, at)| expired(**at))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in expired {
-            self.ended_jobs.remove(&id);
-            self.removals.push_back(id);
-        }
+        self.ended_jobs.schedule_removals(now.wall_ms);
+    }
+
+    /// Records that all records of jobs that were read at `revision` or before
+    /// have been handed over.
+    pub fn records_read(&mut self, revision: u64) {
+        self.ended_jobs.forget_removed(revision);
     }
 
     /// Handles the result of an order to start a run. A refused run is
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -103,7 +103,7 @@
     /// nothing has changed.
     pub fn take_commit(&mut self, now: Now) -> Option<Commit> {
         let is_clean = self.dirty.is_empty()
-            && self.removals.is_empty()
+            && !self.ended_jobs.has_due()
             && !self.queued_changed;
         if self.commit_state.in_flight.is_some() || is_clean {
             return None;
@@ -150,10 +150,10 @@
         let max_removals = MAX_REMOVALS.min(self.commit_state.max_jobs());
         let mut removals = Vec::new();
         while removals.len() < max_removals
-            && let Some(id) = self.removals.front().copied()
+            && let Some(id) = self.ended_jobs.next_due()
             && txn.remove([keys::job(id), keys::progress(id)]).is_ok()
         {
-            self.removals.pop_front();
+            self.ended_jobs.take_due();
             removals.push(id);
         }
         removals
@@ -197,9 +197,9 @@
         jobs
     }
 
-    /// Handles the success of a commit: acknowledges the ends that it
-    /// contains, and orders the starts.
-    pub fn commit_done(&mut self, now: Now, number: u64) {
+    /// Handles the success of a commit at a revision of the store: acknowledges
+    /// the ends that it contains, and orders the starts.
+    pub fn commit_done(&mut self, now: Now, number: u64, revision: u64) {
         let in_flight = self.commit_state.in_flight.take();
         let Some(commit) = in_flight.filter(|c| c.number == number) else {
             return;
@@ -207,6 +207,7 @@
         let max_jobs = self.commit_state.max_jobs.map(|n| 2 * n);
         self.commit_state.max_jobs =
             max_jobs.filter(|n| *n < Txn::MAX_ENTRIES);
+        self.ended_jobs.record_removals(&commit.removals, revision);
         let mut agents = BTreeSet::new();
         for (agent, born_ms, end) in commit.ends {
             let Some(worker) = self.workers.get_mut(&agent) else {
@@ -238,6 +239,7 @@
         match (&commit.jobs[..], &commit.removals[..]) {
             ([id], []) => self.end_unstorable_job(now, *id, why),
             ([], [id]) => {
+                self.ended_jobs.insert_for_good(*id);
                 let detail = format!("what=removal why={why}");
                 self.record_event(Code::RecordRejected, *id, &detail);
             }
@@ -245,9 +247,7 @@
                 let half = (commit.len() / 2).max(1);
                 self.commit_state.max_jobs = Some(half);
                 self.dirty.extend(commit.jobs);
-                for id in commit.removals.into_iter().rev() {
-                    self.removals.push_front(id);
-                }
+                self.ended_jobs.reschedule(&commit.removals);
             }
         }
     }
--- a/crates/coordination/tests/ended_incarnations.rs
+++ b/crates/coordination/tests/ended_incarnations.rs
@@ -97,7 +97,7 @@
             sent: Vec::new(),
         };
         fixture.report_snapshot(upstream, 1000);
-        fixture.scheduler.update_job(fixture.now, batch());
+        fixture.scheduler.update_job(fixture.now, batch(), None);
         fixture.run(PROMPT);
         assert_eq!(fixture.started_runs(), [1]);
         fixture
@@ -109,7 +109,7 @@
             self.now.monotonic += TICK;
             self.scheduler.tick(self.now);
             if let Some(commit) = self.scheduler.take_commit(self.now) {
-                self.scheduler.commit_done(self.now, commit.number);
+                self.scheduler.commit_done(self.now, commit.number, 1);
             }
             for action in self.scheduler.take_actions() {
                 if let Action::Send { message, .. } = action {
--- a/crates/coordination/tests/fleet/commits.rs
+++ b/crates/coordination/tests/fleet/commits.rs
@@ -12,8 +12,8 @@
 const SMALL_JOBS: u64 = 40;
 
 /// Runs short jobs and lets the time pass until their records are due to be
-/// removed in `due_in_ms` milliseconds.
-fn sim_with_old_jobs(workers: usize, jobs: u64, due_in_ms: u64) -> Sim {
+/// removed in `due_in_ms` milliseconds. Their ids begin at 1000.
+pub fn sim_with_old_jobs(workers: usize, jobs: u64, due_in_ms: u64) -> Sim {
     let mut sim = Sim::new(workers, 1);
     sim.run(500);
     for id in 1000..1000 + jobs {
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -16,6 +16,7 @@
 mod preemption;
 mod queues;
 mod random_faults;
+mod removals;
 mod restarts;
 mod sim;
 mod speeds;
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -65,7 +65,11 @@
     pub start_orders: Vec<(u64, String)>,
     /// The details of the quarantines of workers.
     pub quarantines: Vec<String>,
-    batches: BTreeMap<BatchId, Batch>,
+    /// The records of jobs in the store, each with the revision at which it was
+    /// written.
+    batches: BTreeMap<BatchId, (Batch, u64)>,
+    /// The revision of the store.
+    revision: u64,
     /// The progress that is committed to the store.
     progress: BTreeMap<BatchId, Progress>,
     /// The lengths of the queues that are committed to the store.
@@ -110,6 +114,7 @@
             start_orders: Vec::new(),
             quarantines: Vec::new(),
             batches: BTreeMap::new(),
+            revision: 1,
             progress: BTreeMap::new(),
             queued_jobs: BTreeMap::new(),
             agents,
--- a/crates/coordination/tests/fleet/sim/incidents.rs
+++ b/crates/coordination/tests/fleet/sim/incidents.rs
@@ -57,7 +57,7 @@
                 index: 0,
             },
             run: 1,
-            payload: self.batches[&job].payload.clone(),
+            payload: self.batches[&job].0.payload.clone(),
             deadline_ms,
             token: self.token,
             checkpoint: String::new(),
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -20,8 +20,8 @@
     LateStart(String, ToAgent),
     /// From the named agent to the coordinator.
     Report(String, Box<Report>),
-    /// The store's answer to the commit of this number.
-    Committed(u64),
+    /// The store's answer to the commit of this number: its revision.
+    Committed(u64, u64),
     /// The store's answer to the commit of this number, which it rejects for
     /// this reason.
     CommitRejected(u64, String),
@@ -93,9 +93,9 @@
     /// its own messages still reach the agents.
     pub(super) fn deliver(&mut self, token: u64, message: Message) {
         match message {
-            Message::Committed(number) if token == self.token => {
+            Message::Committed(number, revision) if token == self.token => {
                 let now = self.now();
-                self.scheduler.commit_done(now, number);
+                self.scheduler.commit_done(now, number, revision);
                 self.send_actions();
             }
             Message::CommitRejected(number, why) if token == self.token => {
@@ -127,7 +127,7 @@
     matches!(
         message,
         Message::Report(..)
-            | Message::Committed(_)
+            | Message::Committed(..)
             | Message::CommitRejected(..)
     )
 }
--- a/crates/coordination/tests/fleet/sim/store.rs
+++ b/crates/coordination/tests/fleet/sim/store.rs
@@ -12,6 +12,13 @@
 use super::messages::{Message, is_for_coordinator};
 use super::{STEP_MS, Sim, WALL_START_MS};
 
+/// The records of all jobs at a revision of the store, each with the one at
+/// which it was written.
+pub struct JobListing {
+    jobs: Vec<(Batch, u64)>,
+    revision: u64,
+}
+
 impl Sim {
     /// Replaces the coordinator by one that loads its state from the store.
     /// Messages that the earlier one sent to agents stay in flight; messages
@@ -24,7 +31,7 @@
         self.scheduler =
             Scheduler::new(self.token, self.now(), Limits::default());
         self.scheduler.set_workspaces(workspaces());
-        for batch in self.batches.values() {
+        for (batch, revision) in self.batches.values() {
             match self.progress.get(&batch.id) {
                 Some(p) => {
                     self.scheduler.load_job(
@@ -33,7 +40,11 @@
                         p.clone(),
                     );
                 }
-                None => self.scheduler.update_job(self.now(), batch.clone()),
+                None => self.scheduler.update_job(
+                    self.now(),
+                    batch.clone(),
+                    Some(*revision),
+                ),
             }
         }
         let names: Vec<String> = self.agents.keys().cloned().collect();
@@ -47,16 +58,44 @@
             accepted_ms: WALL_START_MS + self.now_ms,
             ..batch
         };
-        self.batches.insert(batch.id, batch.clone());
-        self.scheduler.update_job(self.now(), batch);
+        self.write_job(batch);
     }
 
     pub fn cancel(&mut self, id: BatchId) {
-        if let Some(batch) = self.batches.get_mut(&id) {
-            batch.cancelled = true;
+        if let Some((batch, _)) = self.batches.get(&id) {
             let batch = batch.clone();
-            self.scheduler.update_job(self.now(), batch);
+            self.write_job(Batch {
+                cancelled: true,
+                ..batch
+            });
+        }
+    }
+
+    /// Writes the record of a job, and reports it to the scheduler.
+    fn write_job(&mut self, batch: Batch) {
+        self.revision += 1;
+        let record = (batch.clone(), self.revision);
+        self.batches.insert(batch.id, record);
+        self.scheduler
+            .update_job(self.now(), batch, Some(self.revision));
+    }
+
+    /// Reads all records of jobs, as the coordinator does after a failed watch.
+    pub fn read_jobs(&self) -> JobListing {
+        JobListing {
+            jobs: self.batches.values().cloned().collect(),
+            revision: self.revision,
+        }
+    }
+
+    /// Hands over a reading of all jobs to the scheduler.
+    pub fn deliver_jobs(&mut self, listing: JobListing) {
+        let now = self.now();
+        for (batch, revision) in listing.jobs {
+            self.scheduler.update_job(now, batch, Some(revision));
         }
+        self.scheduler.records_read(listing.revision);
+        self.send_actions();
     }
 
     /// Returns the committed state of a job, which is what callers see.
@@ -94,7 +133,7 @@
         if let Some(commit) = self.commit.take() {
             let number = commit.number;
             let message = match self.apply(&commit.transaction(0)) {
-                Ok(()) => Message::Committed(number),
+                Ok(()) => Message::Committed(number, self.revision),
                 Err(why) => Message::CommitRejected(number, why),
             };
             self.send(STEP_MS, message);
@@ -113,6 +152,7 @@
         if longest.is_some_and(|bytes| bytes > self.max_value_bytes) {
             return Err(format!("a value of {longest:?} bytes"));
         }
+        self.revision += 1;
         for (key, value, _) in &txn.puts {
             if let Some(id) = key.strip_prefix(keys::PROGRESS) {
                 let id = BatchId::parse(id).expect("a job id");
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -92,14 +92,16 @@
 
 /// An input for the scheduler from the threads that call the store.
 enum StoreInput {
-    /// The record of a job was written.
-    Job(Box<Batch>),
+    /// The record of a job was written at this revision.
+    Job(Box<Batch>, u64),
     /// The record of an agent was written, with this name and address.
     Agent(String, String),
     /// The record of the agent with this name was removed.
     AgentRemoved(String),
-    /// The commit with this number is in the store.
-    Committed(u64),
+    /// All records up to this revision were read and queued before.
+    Read(u64),
+    /// The commit with this number is in the store, at this revision.
+    Committed(u64, u64),
     /// The store will not accept the commit with this number, for this reason.
     CommitRejected(u64, String),
 }
@@ -253,7 +255,7 @@
         for (batch, progress) in stored.jobs {
             match progress {
                 Some(p) => scheduler.load_job(self.now(), batch, p),
-                None => scheduler.update_job(self.now(), batch),
+                None => scheduler.update_job(self.now(), batch, None),
             }
         }
         for id in stored.unreadable_jobs {
@@ -387,7 +389,10 @@
     ) {
         let now = self.now();
         match input {
-            StoreInput::Job(batch) => scheduler.update_job(now, *batch),
+            StoreInput::Job(batch, revision) => {
+                scheduler.update_job(now, *batch, Some(revision));
+            }
+            StoreInput::Read(revision) => scheduler.records_read(revision),
             StoreInput::Agent(name, address) => {
                 directory.last_dials.remove(&name);
                 directory.addresses.insert(name, address);
@@ -395,8 +400,8 @@
             StoreInput::AgentRemoved(name) => {
                 directory.addresses.remove(&name);
             }
-            StoreInput::Committed(number) => {
-                scheduler.commit_done(now, number);
+            StoreInput::Committed(number, revision) => {
+                scheduler.commit_done(now, number, revision);
             }
             StoreInput::CommitRejected(number, why) => {
                 scheduler.commit_rejected(now, number, &why);
@@ -411,7 +416,7 @@
         let now = self.now();
         let age_ms = now.wall_ms.abs_diff(batch.accepted_ms);
         if u128::from(age_ms) <= MAX_JOB_RECORD_AGE.as_millis() {
-            scheduler.update_job(now, batch);
+            scheduler.update_job(now, batch, None);
         }
     }
 
--- a/crates/node/src/fleet/lead/calls.rs
+++ b/crates/node/src/fleet/lead/calls.rs
@@ -44,6 +44,7 @@
                 Ok(changes) => {
                     revision = changes.revision.max(revision);
                     forward_changes(changes.changes, &tx, &mut refusals)
+                        && tx.send(StoreInput::Read(revision)).is_ok()
                 }
                 Err(KvError::Compacted) => {
                     read_all(&term, &mut revision, &tx, &mut refusals)
@@ -102,6 +103,7 @@
             *revision = listing.revision;
             let changes = listing.items.into_iter().map(Change::Put);
             forward_changes(changes.collect(), tx, refusals)
+                && tx.send(StoreInput::Read(listing.revision)).is_ok()
         }
         Err(e) => {
             log::debug!("failed to read the jobs and agents again: {e}");
@@ -154,7 +156,7 @@
         match term.kv.commit(&txn, STORE_TIMEOUT) {
             Ok(revision) => {
                 *ledger_revision = revision;
-                return Some(StoreInput::Committed(commit.number));
+                return Some(StoreInput::Committed(commit.number, revision));
             }
             Err(KvError::Conflict(items)) => {
                 let own_ledger = items.iter().find(|i| {
@@ -162,8 +164,12 @@
                 });
                 if let Some(item) = own_ledger {
                     // An earlier attempt was applied, but its answer was lost.
-                    *ledger_revision = item.revision;
-                    return Some(StoreInput::Committed(commit.number));
+                    let revision = item.revision;
+                    *ledger_revision = revision;
+                    return Some(StoreInput::Committed(
+                        commit.number,
+                        revision,
+                    ));
                 }
                 log::warn!(
                     "the conditions of a commit failed; ending this term"
--- a/crates/node/src/fleet/lead/records.rs
+++ b/crates/node/src/fleet/lead/records.rs
@@ -55,7 +55,7 @@
         };
         for item in inputs.items {
             match decode_input(&item) {
-                Ok(StoreInput::Job(batch)) => {
+                Ok(StoreInput::Job(batch, _)) => {
                     let progress = progress.remove(&batch.id);
                     stored.add_job(*batch, progress.as_ref(), refusals);
                 }
@@ -108,7 +108,7 @@
     }
     let id = parse_job_id(&item.key, keys::JOBS).ok_or("unknown key")?;
     match decode_job(id, &item.value) {
-        Ok(batch) => Ok(StoreInput::Job(Box::new(batch))),
+        Ok(batch) => Ok(StoreInput::Job(Box::new(batch), item.revision)),
         Err(e) => Err(e.to_string()),
     }
 }
