Apply a relayed write only while its relay is registered

Seen by callers: nothing; once in a test. A job was written by an entry that had been paused for over 6 s, for a dead entry whose caller had been answered 504. After 10 s the other entries would have said that it does not run (REFUSED).

Cause: a stream that was silent for 2.5 s is closed, but the silence is measured from the moment at which the next wait begins. A pause just before it is not seen, and the frame from before the pause is acted on. Whatever is checked in a process, it may be paused between the check and the call.

The sender now makes a relayed transaction conditional on the record of the relaying entry, which that entry loses when it is paused for longer than its lease. So the store refuses the write, however it was held up.

--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -47,6 +47,9 @@
 #[derive(Clone, Debug)]
 struct PeerEntry<S> {
     address: String,
+    /// The revision of the entry's record in the store; `None` if it is not
+    /// known or there is no such record.
+    record_revision: Option<u64>,
     /// When the entry's record was removed from the store, if it was.
     removed_at: Option<Duration>,
     stream: Option<Stream<S>>,
@@ -56,6 +59,17 @@
     dialled_at: Option<Duration>,
 }
 
+/// An entry that can relay a write to the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WriteRelay<S> {
+    /// The stream to it.
+    pub stream: S,
+    /// Its name.
+    pub name: String,
+    /// The revision of its record in the store.
+    pub record_revision: u64,
+}
+
 /// The other entries. `S` identifies a stream.
 #[derive(Clone, Debug)]
 pub struct Entries<S> {
@@ -106,6 +120,7 @@
         let peer = self.peers.entry(name.to_owned());
         let peer = peer.or_insert_with(|| PeerEntry {
             address: String::new(),
+            record_revision: None,
             removed_at: None,
             stream: None,
             disconnected_since: now,
@@ -127,6 +142,14 @@
     pub fn remove(&mut self, now: Duration, name: &str) {
         if let Some(peer) = self.peers.get_mut(name) {
             peer.removed_at.get_or_insert(now);
+            peer.record_revision = None;
+        }
+    }
+
+    /// Records the revision of an entry's record in the store.
+    pub fn set_record_revision(&mut self, name: &str, revision: u64) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.record_revision = Some(revision);
         }
     }
 
@@ -221,12 +244,36 @@
     /// `None` if no connected entry reaches it. Such entries are chosen in
     /// round-robin order.
     pub fn next_relay(&mut self) -> Option<S> {
-        let streams = self.peers.values().filter_map(|p| p.stream);
-        let relays: Vec<S> =
-            streams.filter(|s| s.reaches_store).map(|s| s.id).collect();
+        self.choose_relay(|_, _, stream| Some(stream))
+    }
+
+    /// Returns an entry that can relay a write to the store, chosen like
+    /// [`next_relay`](Self::next_relay). Its record has to be known, because
+    /// the write is conditional on it.
+    pub fn next_write_relay(&mut self) -> Option<WriteRelay<S>> {
+        self.choose_relay(|name, peer, stream| {
+            Some(WriteRelay {
+                stream,
+                name: name.to_owned(),
+                record_revision: peer.record_revision?,
+            })
+        })
+    }
+
+    /// Chooses one of the connected entries that reach the store and for which
+    /// `describe` returns something.
+    fn choose_relay<T>(
+        &mut self,
+        describe: impl Fn(&str, &PeerEntry<S>, S) -> Option<T>,
+    ) -> Option<T> {
         self.relay_index = self.relay_index.wrapping_add(1);
+        let relays = self.peers.iter().filter_map(|(name, peer)| {
+            let stream = peer.stream.filter(|s| s.reaches_store)?;
+            describe(name, peer, stream.id)
+        });
+        let mut relays: Vec<T> = relays.collect();
         let index = self.relay_index.checked_rem(relays.len())?;
-        relays.get(index).copied()
+        Some(relays.swap_remove(index))
     }
 
     /// Returns the streams to all entries that may have sent a write that may
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -28,6 +28,10 @@
 /// delay the progress of other jobs.
 const MAX_REMOVALS: usize = 3;
 
+/// The entries of a transaction that are added to a commit: the condition on
+/// the ledger and, if it is relayed, that on the record of the relaying entry.
+const RESERVED_ENTRIES: usize = 2;
+
 /// The contents of one transaction.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Commit {
@@ -111,8 +115,7 @@
         self.queued_changed = false;
         self.commit_state.number += 1;
         let number = self.commit_state.number;
-        // One entry is for the condition on the ledger.
-        let mut txn = TxnBuilder::with_reserved(1);
+        let mut txn = TxnBuilder::with_reserved(RESERVED_ENTRIES);
         if let Err(e) = self.add_ledger(&mut txn, number) {
             self.record_rejection(number, 0, &e.to_string());
         }
--- a/crates/coordination/tests/entries.rs
+++ b/crates/coordination/tests/entries.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use figrill_coordination::entries::{
-    Entries, LATE_WRITE_WINDOW, UnconfirmedWrites, WriteResult,
+    Entries, LATE_WRITE_WINDOW, UnconfirmedWrites, WriteRelay, WriteResult,
 };
 use figrill_state::batch::BatchId;
 
@@ -96,6 +96,31 @@
     assert_eq!(entries.next_relay(), Some(3));
 }
 
+// Guards against a relayed write that is not conditional on the record of the
+// entry that relays it.
+#[test]
+fn a_write_is_relayed_only_by_an_entry_whose_record_is_known() {
+    let mut entries = Entries::new("m");
+    entries.set_all(at(0), &entries_named(&["a", "x"]));
+    for (name, id) in [("a", 1), ("x", 2)] {
+        entries.add_stream(at(0), name, "", id);
+        entries.set_reaches_store(id, true);
+    }
+    assert_eq!(entries.next_write_relay(), None);
+    entries.set_record_revision("x", 7);
+    let relay = WriteRelay {
+        stream: 2,
+        name: "x".to_owned(),
+        record_revision: 7,
+    };
+    assert_eq!(entries.next_write_relay(), Some(relay.clone()));
+    assert_eq!(entries.next_write_relay(), Some(relay));
+    entries.remove(at(1), "x");
+    assert_eq!(entries.next_write_relay(), None);
+    entries.add(at(2), "x", "");
+    assert_eq!(entries.next_write_relay(), None);
+}
+
 #[test]
 fn of_two_entries_the_smaller_name_dials_first() {
     let mut entries: Entries<u32> = Entries::new("m");
--- a/crates/node/src/fleet/mesh.rs
+++ b/crates/node/src/fleet/mesh.rs
@@ -19,12 +19,12 @@
 use figrill_coordination::entries::{Entries, UnconfirmedWrites, WriteResult};
 use figrill_protocol::message::Message;
 use figrill_state::{
-    batch::{Batch, BatchId, encode},
+    batch::{Batch, BatchId, encode, keys},
     clock::Clock,
     event::{Code, NewEvent, Stamp},
     job::JobId,
     kv::{
-        Kv, KvError,
+        Kv, KvError, Txn,
         call::{Call, CallResult},
     },
 };
@@ -260,21 +260,67 @@
         call: &Call,
         timeout: Duration,
     ) -> Option<Result<CallResult, KvError>> {
+        if let Call::Commit(txn) = call {
+            return self.relay_commit(txn, timeout);
+        }
         let conn = self.lock().entries.next_relay()?;
+        Some(self.call_through(conn, call, timeout))
+    }
+
+    /// Relays a transaction on the condition that the relaying entry still has
+    /// the record that this entry knows. An entry that is paused for longer
+    /// than its lease loses its record, so a write that it makes long after it
+    /// was sent is not applied, however it was held up on its way.
+    fn relay_commit(
+        &self,
+        txn: &Txn,
+        timeout: Duration,
+    ) -> Option<Result<CallResult, KvError>> {
+        let relay = self.lock().entries.next_write_relay()?;
+        let key = keys::entry(&relay.name);
+        let mut txn = txn.clone();
+        txn.conditions.push((key.clone(), relay.record_revision));
+        if let Err(e) = txn.check() {
+            return Some(Err(e.into()));
+        }
+        let call = Call::Commit(txn);
+        let result = self.call_through(relay.stream, &call, timeout);
+        Some(match result {
+            Err(KvError::Conflict(mut items)) => {
+                let is_registered = items.iter().any(|i| {
+                    i.key == key && i.revision == relay.record_revision
+                });
+                items.retain(|i| i.key != key);
+                if is_registered {
+                    Err(KvError::Conflict(items))
+                } else {
+                    let why = "the relaying entry has lost its record";
+                    Err(KvError::Refused(why.to_owned()))
+                }
+            }
+            result => result,
+        })
+    }
+
+    /// Makes a store call through the entry at the other end of a stream.
+    fn call_through(
+        &self,
+        conn: ConnId,
+        call: &Call,
+        timeout: Duration,
+    ) -> Result<CallResult, KvError> {
         let answers =
             self.send_queries(vec![conn], |number| Message::StoreCall {
                 number,
                 timeout,
                 call: call.clone(),
             });
-        let answer = answers.wait(1, timeout).next();
-        let no_answer = || {
-            KvError::Unanswered("no answer from the relaying entry".to_owned())
-        };
-        Some(match answer {
+        match answers.wait(1, timeout).next() {
             Some(PeerAnswer::Store(result)) => result,
-            _ => Err(no_answer()),
-        })
+            _ => Err(KvError::Unanswered(
+                "no answer from the relaying entry".to_owned(),
+            )),
+        }
     }
 
     /// Sends a query to each of `conns`.
--- a/crates/node/src/fleet/mesh/directory.rs
+++ b/crates/node/src/fleet/mesh/directory.rs
@@ -194,6 +194,11 @@
         entries.extend(address.map(|a| (name.to_owned(), a)));
     }
     state.entries.set_all(now, &entries);
+    for item in &listing.items {
+        if let Some(name) = item.key.strip_prefix(keys::ENTRIES) {
+            state.entries.set_record_revision(name, item.revision);
+        }
+    }
     Ok(listing.revision)
 }
 
@@ -239,7 +244,10 @@
     let mut state = mesh.lock();
     match change {
         Change::Put(item) => match decode_record(&item) {
-            Ok((name, address)) => state.entries.add(now, &name, &address),
+            Ok((name, address)) => {
+                state.entries.add(now, &name, &address);
+                state.entries.set_record_revision(&name, item.revision);
+            }
             Err(why) => refusals.refuse(&item, why),
         },
         Change::Removed(key) => {
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -163,6 +163,30 @@
     }
 }
 
+// Guards against a relayed write that is applied long after both entries are
+// gone, and after the other ones answer that the job does not run.
+#[test]
+fn a_relayed_write_is_not_applied_once_its_relay_is_gone() {
+    const JOB: u64 = 2;
+    // Longer than the lease of an entry's record, from the write on.
+    const WRITE_DELAY: Duration = Duration::from_secs(7);
+    let mut site = start_site(2, 1);
+    let (sender, relay) = (0, 1);
+    site.entries[sender].store_endpoint.faults().outage = Outage::Refusing;
+    let first = site.client.submit(site.entry(sender), 1, &small_job());
+    assert_eq!(first.status, 200);
+    site.entries[relay].store_endpoint.faults().write_delay =
+        Some(WRITE_DELAY);
+    let answer = site.client.submit(site.entry(sender), JOB, &small_job());
+    assert_eq!(answer.status, 504);
+    site.entries[sender].process.kill();
+    site.entries[relay].process.kill();
+    thread::sleep(WRITE_DELAY + Duration::from_secs(1));
+    let key = format!("figrill/in/job/{JOB:016x}");
+    let written = site.kv.get(&key, Duration::ZERO);
+    assert_eq!(written, Ok(None), "a job was written late");
+}
+
 #[test]
 fn a_relaying_entry_makes_no_call_from_before_its_pause() {
     // Longer than the time after which a silent stream is closed.
