Pause before a refused start is repeated

Seen: in a test with one worker that refuses all starts, its task was placed, committed, ordered and refused every 3 ms, by the coordinator's log. Callers see nothing of it by itself; the writes count against the limit of all entries.

Cause: a refusal quarantines the worker, but quarantines are ignored while more than a third of the workers are quarantined. Nothing else delayed the next start.

A worker that refused a start as unhealthy gets no new work for 250 ms in any case. So starts are repeated four times a second at most, on each worker.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -20,7 +20,7 @@
     event::{Code, NewEvent},
     job::JobId,
     limits::Limits,
-    runner::StartOutcome,
+    runner::{Refusal, StartOutcome},
 };
 
 use crate::learn::RunTimeEstimator;
@@ -413,8 +413,11 @@
                     id,
                     "the start of a gang member was refused",
                 );
-                if refusal == figrill_state::runner::Refusal::Unhealthy {
+                if refusal == Refusal::Unhealthy {
                     self.record_failure(now, id, agent, RunResult::Stuck);
+                    if let Some(worker) = self.workers.get_mut(agent) {
+                        worker.record_refusal(now.monotonic);
+                    }
                 }
             }
         }
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -233,6 +233,7 @@
         usable
             .into_iter()
             .filter(|(_, w, _)| !quarantine_applies || !quarantined(w))
+            .filter(|(_, w, _)| w.accepts_starts(now.monotonic))
             .map(|(agent, worker, upstream)| Candidate {
                 agent: agent.clone(),
                 service: upstream.service.clone(),
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -23,6 +23,10 @@
 /// How long a quarantined worker gets no new work.
 const QUARANTINE_DURATION: Duration = Duration::from_secs(5);
 
+/// How long a worker whose upstream refused a start as unhealthy gets no new
+/// work, also if its quarantine is ignored.
+const REFUSAL_BACKOFF: Duration = Duration::from_millis(250);
+
 /// The number of different jobs that must have failed on a worker before it
 /// is quarantined.
 const QUARANTINE_FAILED_JOBS: usize = 2;
@@ -65,8 +69,11 @@
     pub(super) drain_reported_at: Option<Duration>,
     /// The results within [`RESULT_WINDOW`]: time, job and result.
     recent_results: VecDeque<(Duration, BatchId, RunResult)>,
-    /// Until when no new work is placed there.
+    /// Until when no new work is placed there, unless too many workers are
+    /// quarantined.
     pub(super) quarantined_until: Duration,
+    /// Until when no new work is placed there in any case.
+    backoff_until: Duration,
 }
 
 impl Worker {
@@ -81,6 +88,17 @@
             .is_some_and(|(_, at)| now < at + REACHABLE_TIMEOUT)
     }
 
+    /// Records that the upstream refused a start as unhealthy.
+    pub(super) fn record_refusal(&mut self, now: Duration) {
+        self.backoff_until = now + REFUSAL_BACKOFF;
+    }
+
+    /// Returns whether a start may be placed there, as far as refusals of
+    /// earlier ones are concerned.
+    pub(super) fn accepts_starts(&self, now: Duration) -> bool {
+        now >= self.backoff_until
+    }
+
     /// Returns the time for which a draining worker is certain to stay, if it
     /// reported one.
     pub(super) fn remaining_time(&self, now: Duration) -> Option<Duration> {
--- a/crates/coordination/tests/fleet/starts.rs
+++ b/crates/coordination/tests/fleet/starts.rs
@@ -83,3 +83,29 @@
     sim.run(10_000);
     assert_no_violations(&sim, "late start");
 }
+
+// Guards against starts that are refused and sent again without a pause, each
+// with a commit, because all workers are quarantined.
+#[test]
+fn refused_starts_are_not_repeated_without_a_pause() {
+    const REFUSING_MS: u64 = 4000;
+    // A retry every 200 ms, and the first start.
+    const MAX_STARTS: u64 = REFUSING_MS / 200 + 1;
+    for workers in [1, 2, 3] {
+        let mut sim = Sim::new(workers, 1);
+        sim.run(500);
+        for node in sim.pool.nodes.values_mut() {
+            node.refuses_starts = true;
+        }
+        sim.submit(job(1, 1, 1, 1, 200));
+        sim.run(REFUSING_MS);
+        let orders = sim.start_orders.len() as u64;
+        let limit = MAX_STARTS * workers as u64;
+        assert!(orders <= limit, "{workers} workers: {orders} starts");
+        for node in sim.pool.nodes.values_mut() {
+            node.refuses_starts = false;
+        }
+        assert!(sim.run_until(1000, Sim::all_ended), "{workers} workers");
+        assert_no_violations(&sim, "refused starts");
+    }
+}
