Replace a record of the coordinator that has no lease

Seen: after another writer left 'entry-9 1' under figrill/coordinator, no entry coordinated any more and no job was done, for good (LOST for everybody).

Cause: a record of the right form counted as that of a coordinator, whose end the entries waited for. It has no lease, so it has no end. The client of the store dropped the lease of an item.

Items now say whether they have a lease, and a coordinator's record that has none names no process. It is replaced on the condition of its revision.

Evidence: invalid_entries::a_record_of_the_coordinator_without_a_lease_is_replaced fails before (timed out after 20s waiting for job 300 to be done) and passes now. The test double of the store gives the lease of its items.

--- a/crates/node/src/fleet/lead/term.rs
+++ b/crates/node/src/fleet/lead/term.rs
@@ -12,7 +12,7 @@
 use figrill_state::{
     batch::keys,
     clock::Clock,
-    kv::{Item, Kv, KvError, LeaseId, Txn},
+    kv::{Attachment, Item, Kv, KvError, LeaseId, Txn},
 };
 
 use crate::fleet::{STORE_RETRY_DELAY, STORE_TIMEOUT, serve};
@@ -83,7 +83,10 @@
             });
         }
         if existing.is_some() {
-            log::warn!("replacing the record of the coordinator: no process");
+            log::warn!(
+                "replacing the record of the coordinator: it names no process \
+                 or has no lease"
+            );
         }
         let sent_at = clock.now();
         let lease = kv.grant(LEASE_TTL, STORE_TIMEOUT)?;
@@ -194,8 +197,12 @@
 
 /// Returns the name of the process that a record of the lease names. `None` if
 /// it has not the form that every holder writes: a name, an incarnation and,
-/// since that is written too, a lease.
+/// since that is written too, a lease. Nor has another writer's record that is
+/// attached to no lease a holder: it would never end.
 fn holder_name(record: &Item) -> Option<String> {
+    if record.attachment == Attachment::None {
+        return None;
+    }
     let text = std::str::from_utf8(&record.value).ok()?;
     let mut words = text.split(' ');
     let name = words.next().filter(|name| !name.is_empty())?;
--- a/crates/protocol/src/wire/entry.rs
+++ b/crates/protocol/src/wire/entry.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
-use figrill_state::kv::{self, KvError, LeaseId, call};
+use figrill_state::kv::{self, Attachment, KvError, LeaseId, call};
 
 use super::millis;
 
-/// A key, its value and its revision.
+/// A key, its value and its revision. The lease that the key is attached to is
+/// left out.
 #[derive(Encode, Decode)]
 pub struct Item(String, Vec<u8>, u64);
 
@@ -24,6 +25,7 @@
             key: w.0,
             value: w.1,
             revision: w.2,
+            attachment: Attachment::Unknown,
         }
     }
 }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -15,7 +15,10 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use figrill_state::{
     clock::SystemClock,
-    kv::{Change, Changes, Item, Kv, KvError, LeaseId, Txn, memory::MemoryKv},
+    kv::{
+        Attachment, Change, Changes, Item, Kv, KvError, LeaseId, Txn,
+        memory::MemoryKv,
+    },
 };
 use serde_json::{Value, json};
 
@@ -185,12 +188,16 @@
 }
 
 fn item_json(item: &Item) -> Value {
+    let lease = match item.attachment {
+        Attachment::Lease(id) => id.0,
+        Attachment::None | Attachment::Unknown => 0,
+    };
     json!({
         "key": item.key,
         "value": STANDARD.encode(&item.value),
         "rev": item.revision,
         "created": item.revision,
-        "lease": 0,
+        "lease": lease,
     })
 }
 
--- a/crates/state/src/kv.rs
+++ b/crates/state/src/kv.rs
@@ -15,6 +15,18 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct LeaseId(pub u64);
 
+/// Whether a key is attached to a lease, with which it is removed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Attachment {
+    /// Not known: another process has read the key.
+    #[default]
+    Unknown,
+    /// The key is attached to no lease.
+    None,
+    /// The key is attached to this lease.
+    Lease(LeaseId),
+}
+
 /// A key and its current value in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Item {
@@ -25,6 +37,8 @@
     /// The store's revision when the key was last changed. Conditions use 0
     /// for a key that does not exist.
     pub revision: u64,
+    /// The lease that the key is attached to.
+    pub attachment: Attachment,
 }
 
 /// A change reported by a watch.
--- a/crates/state/src/kv/memory.rs
+++ b/crates/state/src/kv/memory.rs
@@ -9,7 +9,9 @@
 
 use crate::clock::Clock;
 
-use super::{Change, Changes, Item, Kv, KvError, LeaseId, Listing, Txn};
+use super::{
+    Attachment, Change, Changes, Item, Kv, KvError, LeaseId, Listing, Txn,
+};
 
 /// The maximum number of past changes that are kept for watches.
 const MAX_HISTORY_LEN: usize = 4096;
@@ -155,6 +157,9 @@
             key: key.to_owned(),
             value: stored.value.clone(),
             revision: stored.revision,
+            attachment: stored
+                .lease
+                .map_or(Attachment::None, Attachment::Lease),
         })
     }
 
--- a/tests/invalid_entries.rs
+++ b/tests/invalid_entries.rs
@@ -397,3 +397,53 @@
         assert_eq!(state, "503", "{}", String::from_utf8_lossy(&invalid));
     }
 }
+
+// Guards against a record that looks like that of a coordinator, but is
+// attached to no lease, and that keeps all entries from the duty for good.
+#[test]
+fn a_record_of_the_coordinator_without_a_lease_is_replaced() {
+    struct Case {
+        name: &'static str,
+        record: &'static str,
+        /// Whether all entries are down when it is written.
+        without_entries: bool,
+    }
+    let cases = [
+        Case {
+            name: "an unknown process, beside a coordinator",
+            record: "entry-9 1",
+            without_entries: false,
+        },
+        Case {
+            name: "a live entry and a lease in words only",
+            record: "entry-1 1 7",
+            without_entries: false,
+        },
+        Case {
+            name: "written while no entry is up",
+            record: "entry-9 1 7",
+            without_entries: true,
+        },
+    ];
+    let mut site = start_site(2, 1);
+    for (id, case) in (0x300..).zip(cases) {
+        if case.without_entries {
+            for entry in &mut site.entries {
+                entry.process.kill();
+            }
+        }
+        write(&site, "figrill/coordinator", case.record.as_bytes());
+        if case.without_entries {
+            for i in 0..2 {
+                site.restart_entry(i).expect("the entry starts");
+            }
+        }
+        let work = job(1, 1, 50, false);
+        wait_for(case.name, WAIT_LIMIT, || {
+            let answer = site.client.submit(site.entry(0), id, &work);
+            (answer.status == 200).then_some(())
+        });
+        site.wait_for_state(0, id, "done", WAIT_LIMIT);
+    }
+    site.assert_no_violations();
+}
