Take the drains that the soak checks from what upstreams report

Cause: the check. It counted the time from the begin of an UpstreamDrain to its end as one drain.

A drain now begins when the agent has acknowledged a report that says so, and ends with the incarnation; after the drain time no start is allowed.

--- a/crates/standin/src/platform/workers.rs
+++ b/crates/standin/src/platform/workers.rs
@@ -29,8 +29,21 @@
 /// The interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The acknowledgement of a status report by which an upstream said for the
+/// first time that it drains.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AcknowledgedDrain {
+    /// The name of the agent beside the upstream.
+    pub agent: String,
+    /// The incarnation of the upstream.
+    pub incarnation: Incarnation,
+    /// The time of the acknowledgement in the model.
+    pub at_ms: u64,
+}
+
 struct Shared {
     pool: Mutex<Pool>,
+    drains: Mutex<Vec<AcknowledgedDrain>>,
     processes: Mutex<BTreeMap<String, Process>>,
     start: Instant,
     /// The Unix time at `start`, in milliseconds.
@@ -74,6 +87,7 @@
         let workers = Self {
             shared: Arc::new(Shared {
                 pool: Mutex::default(),
+                drains: Mutex::default(),
                 processes: Mutex::default(),
                 start: Instant::now(),
                 start_unix_ms: u64::try_from(unix_ms).unwrap_or(u64::MAX),
@@ -175,25 +189,56 @@
 
     fn send_heartbeats(&self, name: &str, agent: SocketAddr) {
         loop {
-            if let Some((id, body)) = self.next_heartbeat(name) {
+            if let Some(upstream) = self.next_heartbeat(name) {
+                let id = &upstream.incarnation.id;
+                let body = heartbeat_json(&upstream, self.now_ms());
                 // The agent may be down. The next heartbeat follows anyway.
-                let _ = send_report(agent, &id, &body);
+                let status = send_report(agent, id, &body);
+                if upstream.draining && status == 200 {
+                    self.record_drain(name, &upstream.incarnation);
+                }
             }
             thread::sleep(HEARTBEAT_INTERVAL);
         }
     }
 
-    /// Returns the id and the body of the next heartbeat, if one is due.
-    fn next_heartbeat(&self, name: &str) -> Option<(String, Value)> {
+    /// Returns the upstream as its next heartbeat describes it, if one is due.
+    fn next_heartbeat(&self, name: &str) -> Option<UpstreamState> {
         let paused = self.processes().get(name)?.heartbeats_paused;
-        let (mut pool, now) = self.pool_and_time();
+        let mut pool = self.pool();
         let node = pool.nodes.get_mut(name)?;
         node.upstream.sequence += 1;
         if paused || !node.reachable {
             return None;
         }
-        let id = node.upstream.incarnation.id.clone();
-        Some((id, heartbeat_json(&node.upstream, now)))
+        Some(node.upstream.clone())
+    }
+
+    fn lock_drains(&self) -> MutexGuard<'_, Vec<AcknowledgedDrain>> {
+        let drains = self.shared.drains.lock();
+        drains.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that an agent has acknowledged that an incarnation drains.
+    fn record_drain(&self, name: &str, incarnation: &Incarnation) {
+        let at_ms = self.now_ms();
+        let mut drains = self.lock_drains();
+        let known = |d: &AcknowledgedDrain| {
+            d.agent == name && d.incarnation == *incarnation
+        };
+        if !drains.iter().any(known) {
+            drains.push(AcknowledgedDrain {
+                agent: name.to_owned(),
+                incarnation: incarnation.clone(),
+                at_ms,
+            });
+        }
+    }
+
+    /// Returns the acknowledged drains so far, one for each incarnation.
+    #[must_use]
+    pub fn drains(&self) -> Vec<AcknowledgedDrain> {
+        self.lock_drains().clone()
     }
 
     /// Returns the id of the upstream beside an agent and the body of its last
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -10,12 +10,10 @@
 use figrill_standin::platform::{
     client::{Client, job},
     site::Site,
+    workers::AcknowledgedDrain,
 };
 
-use crate::{
-    callers::{CallerState, Observation},
-    faults::DrainPeriod,
-};
+use crate::callers::{CallerState, Observation};
 
 /// The maximum time until each entry serves jobs again.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(15);
@@ -23,8 +21,8 @@
 /// The maximum time until all accepted jobs have ended.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(45);
 
-/// The time after which a draining upstream is given no new tasks, in
-/// milliseconds.
+/// The time after the acknowledgement of a drain from which the upstream is
+/// given no new tasks, in milliseconds.
 const DRAIN_GRACE_MS: u64 = 2000;
 
 /// The interval at which a condition is checked again. A job may have no state
@@ -131,13 +129,10 @@
 }
 
 /// Checks what the upstreams observed: no violations, no start of a job that
-/// its caller was told would not run, and no start at an upstream that has
-/// been draining for some time.
-pub fn check_upstreams(
-    site: &Site,
-    callers: &CallerState,
-    drains: &[DrainPeriod],
-) {
+/// its caller was told would not run, and no start at an upstream some time
+/// after its agent has acknowledged that it drains.
+pub fn check_upstreams(site: &Site, callers: &CallerState) {
+    let drains = site.workers.drains();
     let pool = site.workers.pool();
     let mut records = callers.records();
     for violation in &pool.violations {
@@ -162,15 +157,11 @@
                 "a job was refused as not run, but it ran: {line}"
             ));
         }
-        let time_ms: u64 = line
-            .split(' ')
-            .next()
-            .and_then(|w| w.parse().ok())
-            .unwrap_or(0);
-        let in_drain = |d: &&DrainPeriod| {
+        let time_ms = time_of(line);
+        let in_drain = |d: &&AcknowledgedDrain| {
             line.ends_with(&d.agent)
-                && time_ms > d.from_ms + DRAIN_GRACE_MS
-                && time_ms < d.to_ms
+                && time_ms > d.at_ms + DRAIN_GRACE_MS
+                && time_ms < end_of(d, &pool.trace)
         };
         if let Some(drain) = drains.iter().find(in_drain) {
             let text = format!(
@@ -180,3 +171,18 @@
         }
     }
 }
+
+/// Returns the time of a line of the trace, in milliseconds.
+fn time_of(line: &str) -> u64 {
+    let time = line.split(' ').next().and_then(|w| w.parse().ok());
+    time.unwrap_or(0)
+}
+
+/// Returns when the incarnation that drains has ended, in milliseconds.
+fn end_of(drain: &AcknowledgedDrain, trace: &[String]) -> u64 {
+    let ends = trace
+        .iter()
+        .filter(|l| l.contains(" crashed ") && l.ends_with(&drain.agent));
+    let mut ends = ends.map(|line| time_of(line));
+    ends.find(|at| *at >= drain.at_ms).unwrap_or(u64::MAX)
+}
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -36,18 +36,6 @@
 /// The speed of a slow upstream, in percent of the normal speed.
 const SLOW_PERCENT: u64 = 20;
 
-/// A period during which an upstream was draining, in milliseconds of the
-/// model's clock.
-#[derive(Clone, Debug)]
-pub struct DrainPeriod {
-    /// The name of the agent beside the upstream.
-    pub agent: String,
-    /// When the upstream began to drain.
-    pub from_ms: u64,
-    /// When a new incarnation replaced it.
-    pub to_ms: u64,
-}
-
 fn member(site: &mut Site, target: Target) -> &mut Member {
     match target {
         Target::Entry(i) => &mut site.entries[i],
@@ -177,32 +165,24 @@
     }
 }
 
-/// Ends a fault. Returns the periods during which upstreams were draining
-/// because of it.
+/// Ends a fault.
 ///
 /// # Errors
 ///
 /// Returns an error if a process cannot be restarted.
-pub fn end(site: &mut Site, fault: &Fault) -> io::Result<Vec<DrainPeriod>> {
-    let mut drains = Vec::new();
+pub fn end(site: &mut Site, fault: &Fault) -> io::Result<()> {
     if let FaultKind::StrayRecords(seed) = fault.kind
         && seed % 2 == 0
     {
         writer::remove_records(&site.kv, seed);
     }
     for target in &fault.targets {
-        end_one(site, fault, *target, &mut drains)?;
+        end_one(site, fault, *target)?;
     }
-    Ok(drains)
+    Ok(())
 }
 
-fn end_one(
-    site: &mut Site,
-    fault: &Fault,
-    target: Target,
-    drains: &mut Vec<DrainPeriod>,
-) -> io::Result<()> {
-    let now_ms = site.workers.now_ms();
+fn end_one(site: &mut Site, fault: &Fault, target: Target) -> io::Result<()> {
     let workers = site.workers.clone();
     let member = member(site, target);
     match fault.kind {
@@ -231,16 +211,9 @@
             }
         }
         FaultKind::UpstreamDrain => {
-            let duration =
-                u64::try_from(fault.duration.as_millis()).unwrap_or(0);
             // It leaves though the agent may not have acknowledged that.
             let _ = workers.leave(&member.name);
             workers.restart(&member.name, successor(fault))?;
-            drains.push(DrainPeriod {
-                agent: member.name.clone(),
-                from_ms: now_ms.saturating_sub(duration),
-                to_ms: now_ms,
-            });
         }
         FaultKind::Reload
         | FaultKind::Blackhole
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -13,8 +13,7 @@
 
 use crate::{
     callers::{CALLERS, CallerState, Observation},
-    checks,
-    faults::{self, DrainPeriod},
+    checks, faults,
     plan::{FAULT_PHASE, Fault, FaultKind, Plan, Profile, Size, Target},
     signals::Step,
     writer,
@@ -58,7 +57,6 @@
     let entries = site.entries.iter().map(|e| e.address).collect();
     let callers = CallerState::new(entries);
     let client = site.client.clone();
-    let mut drains = Vec::new();
     let result = thread::scope(|scope| {
         for number in 0..CALLERS {
             let (callers, client) = (&callers, &client);
@@ -70,7 +68,7 @@
                 callers.run_persistent_caller(*entry, seed, number);
             });
         }
-        let result = run_plan(&mut site, &plan, &mut drains);
+        let result = run_plan(&mut site, &plan);
         callers.stopped.store(true, Ordering::Relaxed);
         result
     });
@@ -78,7 +76,7 @@
     let mut violations = Vec::new();
     checks::check_entries_serve(&site, &mut violations);
     checks::check_jobs_end(&site, &callers);
-    checks::check_upstreams(&site, &callers, &drains);
+    checks::check_upstreams(&site, &callers);
     let stray = plan.faults.iter().filter_map(|fault| match fault.kind {
         FaultKind::StrayRecords(seed) => Some(writer::record_jobs(seed)),
         _ => None,
@@ -116,11 +114,7 @@
     })
 }
 
-fn run_plan(
-    site: &mut Site,
-    plan: &Plan,
-    drains: &mut Vec<DrainPeriod>,
-) -> io::Result<()> {
+fn run_plan(site: &mut Site, plan: &Plan) -> io::Result<()> {
     let mut actions: Vec<(Duration, Action<'_>)> = Vec::new();
     for fault in &plan.faults {
         actions.push((fault.at, Action::BeginFault(fault)));
@@ -147,9 +141,7 @@
         thread::sleep(at.saturating_sub(start.elapsed()));
         match action {
             Action::BeginFault(fault) => faults::begin(site, fault)?,
-            Action::EndFault(fault) => {
-                drains.extend(faults::end(site, fault)?);
-            }
+            Action::EndFault(fault) => faults::end(site, fault)?,
             Action::Signal(target, step) => {
                 faults::signal(site, target, step)?;
             }
