Give a task that was stopped as stuck more time

A run that takes over 170 s and has no estimate was stopped as stuck, each time anew, and its job was never done (LOST).

Cause: a run counts as stuck after 1.7 s and a fifth of its estimate without progress, which comes in whole percents; one percent of such a run takes longer.

The time doubles with each stop of an earlier run of the task. So a run that stands still is found as soon as before, and a long one ends.

Evidence: ends::a_long_task_without_an_estimate_ends fails before (400 s of work not done after 430 s) and passes now, with at most three stops.

--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -70,6 +70,9 @@
     /// Agents where a task of this job failed or got stuck. Placement avoids
     /// them while there are others.
     pub(super) excluded_agents: Vec<String>,
+    /// How often a run of a task was stopped because it made no progress. The
+    /// next one is given more time: the task may just be a long one.
+    pub(super) stalls: BTreeMap<TaskId, u32>,
     /// Whether the store does not accept the job's progress.
     pub(super) is_unstorable: bool,
 }
@@ -82,6 +85,7 @@
             runs: BTreeMap::new(),
             ready_at: BTreeMap::new(),
             excluded_agents: Vec::new(),
+            stalls: BTreeMap::new(),
             is_unstorable: false,
         }
     }
--- a/crates/coordination/src/scheduler/watch.rs
+++ b/crates/coordination/src/scheduler/watch.rs
@@ -26,6 +26,9 @@
 /// estimate.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1700);
 
+/// How often [`STALL_TIMEOUT`] doubles for one task.
+const MAX_STALL_DOUBLINGS: u32 = 10;
+
 impl Scheduler {
     /// Releases the runs on workers that were unreachable until all their
     /// grants had expired.
@@ -75,7 +78,8 @@
                 if step.gang && !is_running && late(gang_start_timeout) {
                     incomplete.push((*id, run.agent.clone()));
                 }
-                let limit = stall_timeout(step.estimate_ms);
+                let stalls = job.stalls.get(id).copied().unwrap_or(0);
+                let limit = stall_timeout(step.estimate_ms, stalls);
                 // Members of a gang end together: one that has done its
                 // share makes no more progress until the others have.
                 let progressed_at = if step.gang {
@@ -110,6 +114,9 @@
             if is_suspect {
                 self.record_failure(now, id, &agent, RunResult::Stuck);
             }
+            if let Some(job) = self.jobs.get_mut(&id.job) {
+                *job.stalls.entry(id).or_insert(0) += 1;
+            }
             self.request_stop(id, "the run makes no progress");
             self.request_gang_stop(id, "a gang member makes no progress");
         }
@@ -168,7 +175,9 @@
 
 /// Returns how long a run may make no progress. Progress is reported in
 /// percent, and one percent of a long run takes longer, even more so on a
-/// slow worker.
-fn stall_timeout(estimate_ms: u64) -> Duration {
-    STALL_TIMEOUT + Duration::from_millis(estimate_ms) / 5
+/// slow worker. Nothing else tells a long run without an estimate from one that
+/// stands still, so the time doubles with each stop of an earlier run.
+fn stall_timeout(estimate_ms: u64, earlier_stalls: u32) -> Duration {
+    let timeout = STALL_TIMEOUT + Duration::from_millis(estimate_ms) / 5;
+    timeout * 2_u32.pow(earlier_stalls.min(MAX_STALL_DOUBLINGS))
 }
--- a/crates/coordination/tests/fleet/ends.rs
+++ b/crates/coordination/tests/fleet/ends.rs
@@ -103,3 +103,20 @@
     assert!(sim.run_until(25_000, Sim::all_ended));
     assert_eq!(count_events(&sim, "stopped"), 0, "{:?}", sim.pool.trace);
 }
+
+// Guards against a long task without an estimate that is stopped as stuck again
+// and again, because a percent of it takes longer than a run may stand still.
+#[test]
+fn a_long_task_without_an_estimate_ends() {
+    // A percent takes 4 s.
+    const RUN_MS: u64 = 400_000;
+    let mut sim = Sim::new(4, 1);
+    let mut batch = job(1, 1, 1, 1, RUN_MS);
+    batch.steps[0].estimate_ms = 0;
+    sim.submit(batch);
+    assert!(sim.run_until(RUN_MS + 30_000, Sim::all_ended));
+    assert_eq!(sim.state(FIRST_JOB), BatchState::Done);
+    let stops = count_events(&sim, "stopped");
+    assert!((1..=3).contains(&stops), "{:?}", sim.pool.trace);
+    assert_no_violations(&sim, "a long task");
+}
