--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -214,7 +214,7 @@
     /// Leaves out a job whose progress can't be read. To start it afresh could
     /// run its tasks twice.
     pub fn skip_job(&mut self, id: BatchId) {
-        self.ended_jobs.insert_for_good(id);
+        self.ended_jobs.insert_permanently(id);
     }
 
     /// Handles the record of a job that was accepted or cancelled, which was
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -156,7 +156,7 @@
             && let Some(id) = self.ended_jobs.next_due()
             && txn.remove([keys::job(id), keys::progress(id)]).is_ok()
         {
-            self.ended_jobs.take_due();
+            self.ended_jobs.drop_due();
             removals.push(id);
         }
         removals
@@ -242,7 +242,7 @@
         match (&commit.jobs[..], &commit.removals[..]) {
             ([id], []) => self.end_unstorable_job(now, *id, why),
             ([], [id]) => {
-                self.ended_jobs.insert_for_good(*id);
+                self.ended_jobs.insert_permanently(*id);
                 let detail = format!("what=removal why={why}");
                 self.record_event(Code::RecordRejected, *id, &detail);
             }
--- a/crates/coordination/src/scheduler/ended_jobs.rs
+++ b/crates/coordination/src/scheduler/ended_jobs.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Default)]
 pub(super) struct EndedJobs {
     jobs: BTreeMap<BatchId, Records>,
-    /// Jobs whose records are to be removed, in this order.
+    /// The queue of removals: jobs whose records are to be removed, in this order.
     due: VecDeque<BatchId>,
 }
 
@@ -36,7 +36,7 @@
     }
 
     /// Adds a job whose records are never removed.
-    pub(super) fn insert_for_good(&mut self, id: BatchId) {
+    pub(super) fn insert_permanently(&mut self, id: BatchId) {
         self.insert(id, u64::MAX);
     }
 
@@ -79,9 +79,9 @@
         self.due.front().copied()
     }
 
-    /// Takes the next job whose records are to be removed, as they are in a
-    /// commit now.
-    pub(super) fn take_due(&mut self) {
+    /// Drops the next job whose records are to be removed from the queue,
+    /// because a commit contains the removal.
+    pub(super) fn drop_due(&mut self) {
         self.due.pop_front();
     }
 
--- a/crates/node/src/fleet/mesh/directory.rs
+++ b/crates/node/src/fleet/mesh/directory.rs
@@ -176,10 +176,14 @@
 ) -> Result<u64, KvError> {
     let listing = kv.list(keys::ENTRIES, STORE_TIMEOUT)?;
     let mut entries = Vec::new();
+    let mut revisions = Vec::new();
     let mut refused = Vec::new();
     for item in &listing.items {
         match decode_record(item) {
-            Ok(record) => entries.push(record),
+            Ok((name, address)) => {
+                revisions.push((name.clone(), item.revision));
+                entries.push((name, address));
+            }
             Err(why) => {
                 refusals.refuse(item, why);
                 refused.extend(item.key.strip_prefix(keys::ENTRIES));
@@ -194,10 +198,8 @@
         entries.extend(address.map(|a| (name.to_owned(), a)));
     }
     state.entries.set_all(now, &entries);
-    for item in &listing.items {
-        if let Some(name) = item.key.strip_prefix(keys::ENTRIES) {
-            state.entries.set_record_revision(name, item.revision);
-        }
+    for (name, revision) in revisions {
+        state.entries.set_record_revision(&name, revision);
     }
     Ok(listing.revision)
 }
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -178,11 +178,13 @@
     time.unwrap_or(0)
 }
 
-/// Returns when the incarnation that drains has ended, in milliseconds.
+/// Returns when the incarnation that drains has ended, in milliseconds. It was
+/// born at the end of the one before.
 fn end_of(drain: &AcknowledgedDrain, trace: &[String]) -> u64 {
     let ends = trace
         .iter()
         .filter(|l| l.contains(" crashed ") && l.ends_with(&drain.agent));
     let mut ends = ends.map(|line| time_of(line));
-    ends.find(|at| *at >= drain.at_ms).unwrap_or(u64::MAX)
+    let born_ms = drain.incarnation.born_ms;
+    ends.find(|at| *at > born_ms).unwrap_or(u64::MAX)
 }
