--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -20,14 +20,13 @@
     event::{Code, NewEvent},
     job::JobId,
     limits::Limits,
-    runner::{Refusal, StartOutcome},
 };
 
 use crate::learn::RunTimeEstimator;
 use ended_jobs::EndedJobs;
 use job::{Job, Phase, Run};
-use message::{Grant, Report, StartResult, ToAgent};
-use worker::{RunResult, Worker};
+use message::{Grant, Report, ToAgent};
+use worker::Worker;
 
 mod commit;
 mod ended_jobs;
@@ -364,64 +363,6 @@
     pub fn records_read(&mut self, revision: u64) {
         self.ended_jobs.forget_removed(revision);
     }
-
-    /// Handles the result of an order to start a run. A refused run is
-    /// released; an unknown outcome is resolved by a later snapshot.
-    fn handle_start_result(
-        &mut self,
-        now: Now,
-        agent: &str,
-        result: &StartResult,
-    ) {
-        let (id, outcome) = (result.task, result.outcome);
-        let worker = self.workers.get(agent);
-        let earliest_clock_ms =
-            worker.map_or(0, |w| w.earliest_clock(now.monotonic));
-        if matches!(outcome, StartOutcome::Running { .. }) {
-            self.record_start(now, id, agent, "answer");
-        }
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        // A result that arrives late may be that of an earlier run.
-        let is_current =
-            |r: &&mut Run| r.agent == agent && r.number == result.run;
-        let Some(run) = job.runs.get_mut(&id).filter(is_current) else {
-            return;
-        };
-        match outcome {
-            // An answer with such a clock may come from a later incarnation
-            // of the same name, whose clock was reset. The next snapshot
-            // shows whether the run exists.
-            StartOutcome::Running { clock_ms }
-                if clock_ms < earliest_clock_ms => {}
-            StartOutcome::Running { clock_ms } => {
-                if matches!(run.phase, Phase::Ordered { .. }) {
-                    run.phase = Phase::Running {
-                        first_seen_ms: clock_ms,
-                    };
-                    run.progressed_at = now.monotonic;
-                }
-            }
-            StartOutcome::Unknown => {}
-            StartOutcome::Refused(refusal) => {
-                if !matches!(run.phase, Phase::Ordered { .. }) {
-                    return;
-                }
-                self.release(id, refusal.name());
-                self.request_gang_stop(
-                    id,
-                    "the start of a gang member was refused",
-                );
-                if refusal == Refusal::Unhealthy {
-                    self.record_failure(now, id, agent, RunResult::Stuck);
-                    if let Some(worker) = self.workers.get_mut(agent) {
-                        worker.record_refusal(now.monotonic);
-                    }
-                }
-            }
-        }
-    }
 }
 
 /// Returns whether any task of a job still has a placement.
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -6,13 +6,13 @@
 use figrill_state::{
     batch::{Incarnation, TaskId},
     event::{Code, NewEvent},
-    runner::{ActiveRun, EndedRun, RunEnd, Snapshot},
+    runner::{ActiveRun, EndedRun, Refusal, RunEnd, Snapshot, StartOutcome},
 };
 
 use super::{
     Action, Now, Scheduler,
     job::{Phase, Run},
-    message::{Grant, Report, ToAgent},
+    message::{Grant, Report, StartResult, ToAgent},
     speed::Observation,
     worker::RunResult,
 };
@@ -60,6 +60,64 @@
 }
 
 impl Scheduler {
+    /// Handles the result of an order to start a run. A refused run is
+    /// released; an unknown outcome is resolved by a later snapshot.
+    fn handle_start_result(
+        &mut self,
+        now: Now,
+        agent: &str,
+        result: &StartResult,
+    ) {
+        let (id, outcome) = (result.task, result.outcome);
+        let worker = self.workers.get(agent);
+        let earliest_clock_ms =
+            worker.map_or(0, |w| w.earliest_clock(now.monotonic));
+        if matches!(outcome, StartOutcome::Running { .. }) {
+            self.record_start(now, id, agent, "answer");
+        }
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        // A result that arrives late may be that of an earlier run.
+        let is_current =
+            |r: &&mut Run| r.agent == agent && r.number == result.run;
+        let Some(run) = job.runs.get_mut(&id).filter(is_current) else {
+            return;
+        };
+        match outcome {
+            // An answer with such a clock may come from a later incarnation
+            // of the same name, whose clock was reset. The next snapshot
+            // shows whether the run exists.
+            StartOutcome::Running { clock_ms }
+                if clock_ms < earliest_clock_ms => {}
+            StartOutcome::Running { clock_ms } => {
+                if matches!(run.phase, Phase::Ordered { .. }) {
+                    run.phase = Phase::Running {
+                        first_seen_ms: clock_ms,
+                    };
+                    run.progressed_at = now.monotonic;
+                }
+            }
+            StartOutcome::Unknown => {}
+            StartOutcome::Refused(refusal) => {
+                if !matches!(run.phase, Phase::Ordered { .. }) {
+                    return;
+                }
+                self.release(id, refusal.name());
+                self.request_gang_stop(
+                    id,
+                    "the start of a gang member was refused",
+                );
+                if refusal == Refusal::Unhealthy {
+                    self.record_failure(now, id, agent, RunResult::Stuck);
+                    if let Some(worker) = self.workers.get_mut(agent) {
+                        worker.record_refusal(now.monotonic);
+                    }
+                }
+            }
+        }
+    }
+
     /// Updates the runs of a worker from a snapshot of its upstream.
     fn apply_snapshot(
         &mut self,
@@ -125,7 +183,7 @@
 
     /// Records that a task has started, as `evidence` shows. Its job is no
     /// longer queued from then on, whatever becomes of the run.
-    pub(super) fn record_start(
+    fn record_start(
         &mut self,
         now: Now,
         id: TaskId,
--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -18,7 +18,6 @@
 use figrill_protocol::message::Message;
 use figrill_state::boot::BootSettings;
 use figrill_state::clock::Clock;
-use figrill_state::error::Kind;
 use figrill_state::event::Code;
 use figrill_state::kv::LeaseId;
 use figrill_state::record::{
@@ -28,7 +27,7 @@
 use figrill_transport::http::{Responder, Server};
 use figrill_transport::peer::{Event as NetEvent, Net};
 
-use crate::api::{SharedSettingsView, not_run_answer, refusal_answer};
+use crate::api::SharedSettingsView;
 use crate::config::Config;
 use crate::metrics::Journal;
 use crate::peers::Peers;
@@ -37,10 +36,13 @@
 use super::store_calls::{StoreCall, StoreCalls, StoreResult};
 use super::work::{InputQueue, QueuedInput};
 
+mod command;
 mod operator;
 mod stored;
 mod streams;
 
+pub(super) use command::{Command, NewSettings, OperatorRequest};
+
 /// The interval at which deadlines are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -55,73 +57,6 @@
 /// jobs.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(90);
 
-/// New settings that have been parsed and validated.
-pub(super) struct NewSettings {
-    pub(super) tree: Arc<Tree>,
-    pub(super) text: String,
-    /// The revision that the new settings are based on.
-    pub(super) base: u64,
-    /// The name that the operator gave to the change.
-    pub(super) change: String,
-    /// The name of the token that sent the change.
-    pub(super) by: String,
-}
-
-/// A request of an operator.
-pub(super) enum OperatorRequest {
-    /// Return the status of this entry.
-    Status,
-    /// Return the processes that this entry is connected to, and itself.
-    Processes,
-    /// Drain this entry.
-    Drain,
-    /// Write new settings to the store.
-    Apply(Box<NewSettings>),
-}
-
-/// A command to the event loop from another thread.
-pub(super) enum Command {
-    /// A request of a caller, which is answered through the entry.
-    CallerRequest {
-        call: CallId,
-        input: entry::Input,
-        responder: Responder,
-    },
-    /// The caller has closed the connection before the answer.
-    CallerDisconnected { call: CallId },
-    /// A request of an operator.
-    Operator {
-        request: OperatorRequest,
-        responder: Responder,
-    },
-    /// Drain the process.
-    Drain,
-}
-
-impl Command {
-    /// Answers a command with an error because the event loop has ended.
-    pub(super) fn refuse(self, kind: Kind) {
-        match self {
-            Self::CallerRequest {
-                input, responder, ..
-            } => {
-                // Only a submission is known not to have run. Nothing is
-                // known here about the jobs of other requests.
-                responder.send(match input {
-                    entry::Input::Submit { .. } => {
-                        not_run_answer(kind, "", None)
-                    }
-                    _ => refusal_answer(kind, ""),
-                });
-            }
-            Self::Operator { responder, .. } => {
-                responder.send(refusal_answer(kind, ""));
-            }
-            Self::CallerDisconnected { .. } | Self::Drain => {}
-        }
-    }
-}
-
 /// The state of the event loop.
 pub(super) struct EventLoop {
     boot: BootSettings,
