Believe that a record has no lease only of a store that shows leases

Cause: since a record of the coordinator without a lease is replaced.

The record is replaced only if the store shows the lease of some entry's record; each of these has one. A store that shows none says nothing.

Evidence: invalid_entries::a_store_that_shows_no_leases_keeps_its_coordinator times out before and passes now.

--- a/crates/node/src/fleet/lead/term.rs
+++ b/crates/node/src/fleet/lead/term.rs
@@ -64,6 +64,9 @@
     /// Acquires the lease for the process `name` if no process holds it, and
     /// none acquires it within `deferral`. `incarnation` tells this start of
     /// the process from earlier ones.
+    ///
+    /// A record that is attached to no lease would never end. Another writer
+    /// has left it, so it is replaced.
     pub(super) fn acquire(
         kv: &Arc<dyn Kv>,
         clock: &Arc<dyn Clock>,
@@ -76,11 +79,12 @@
             thread::sleep(deferral);
             (existing, revision) = read_record(&**kv)?;
         }
-        if let Some(holder) = existing.as_ref().and_then(holder_name) {
-            return Ok(Attempt::Held {
-                holder: Some(holder),
-                revision,
-            });
+        let holder = existing.as_ref().and_then(holder_name);
+        let lacks_lease = existing
+            .as_ref()
+            .is_some_and(|item| item.attachment == Attachment::None);
+        if holder.is_some() && !(lacks_lease && reports_leases(&**kv)?) {
+            return Ok(Attempt::Held { holder, revision });
         }
         if existing.is_some() {
             log::warn!(
@@ -195,14 +199,20 @@
     Ok((record, listing.revision))
 }
 
+/// Returns whether the store says of keys which lease they are attached to. Each
+/// entry's record is attached to one, so a store that shows none of them can't
+/// be believed when it shows none for another key.
+fn reports_leases(kv: &dyn Kv) -> Result<bool, KvError> {
+    let entries = kv.list(keys::ENTRIES, STORE_TIMEOUT)?;
+    let is_leased =
+        |item: &Item| matches!(item.attachment, Attachment::Lease(_));
+    Ok(entries.items.iter().any(is_leased))
+}
+
 /// Returns the name of the process that a record of the lease names. `None` if
 /// it has not the form that every holder writes: a name, an incarnation and,
-/// since that is written too, a lease. Nor has another writer's record that is
-/// attached to no lease a holder: it would never end.
+/// since that is written too, a lease.
 fn holder_name(record: &Item) -> Option<String> {
-    if record.attachment == Attachment::None {
-        return None;
-    }
     let text = std::str::from_utf8(&record.value).ok()?;
     let mut words = text.split(' ');
     let name = words.next().filter(|name| !name.is_empty())?;
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -62,6 +62,8 @@
     pub refuses_watches: bool,
     /// Whether reads return the value that a key had before its last write.
     pub stale_reads: bool,
+    /// Whether all keys are shown as attached to no lease.
+    pub hides_leases: bool,
 }
 
 /// What one address of the store has recorded.
@@ -131,7 +133,12 @@
             .calls
             .entry(call_kind(call).to_owned())
             .or_default() += 1;
-        answer(&kv, &active, &recorded, call)
+        let reply = answer(&kv, &active, &recorded, call);
+        if lock(&active).hides_leases {
+            without_leases(reply)
+        } else {
+            reply
+        }
     })?;
     Ok(Endpoint {
         address,
@@ -140,6 +147,24 @@
     })
 }
 
+/// Changes a reply so that it shows all items as attached to no lease.
+fn without_leases(mut reply: Reply) -> Reply {
+    let mut body: Value =
+        serde_json::from_slice(&reply.body).unwrap_or_default();
+    for list in ["items", "events"] {
+        for item in body[list].as_array_mut().into_iter().flatten() {
+            item["lease"] = json!(0);
+        }
+    }
+    if body["key"].is_string() {
+        body["lease"] = json!(0);
+    }
+    if body.is_object() {
+        reply.body = body.to_string().into_bytes();
+    }
+    reply
+}
+
 /// Returns the kind of a call, under which it is counted.
 fn call_kind(call: &Call) -> &'static str {
     match (call.method.as_str(), call.path.as_str()) {
--- a/tests/invalid_entries.rs
+++ b/tests/invalid_entries.rs
@@ -447,3 +447,30 @@
     }
     site.assert_no_violations();
 }
+
+// Guards against entries that take the duty from each other without end
+// because a store shows no key as attached to a lease.
+#[test]
+fn a_store_that_shows_no_leases_keeps_its_coordinator() {
+    let site = start_site(2, 1);
+    for entry in &site.entries {
+        entry.store_endpoint.faults().hides_leases = true;
+    }
+    let revision = || {
+        let key = "figrill/coordinator";
+        let item = site.kv.get(key, Duration::ZERO).ok().flatten();
+        item.map(|i| i.revision)
+    };
+    let first = revision();
+    for id in 0x400..0x410 {
+        thread::sleep(SETTLING_TIME / 16);
+        let answer =
+            site.client.submit(site.entry(0), id, &job(1, 1, 50, false));
+        assert_eq!(answer.status, 200);
+    }
+    for id in 0x400..0x410 {
+        site.wait_for_state(1, id, "done", WAIT_LIMIT);
+    }
+    assert_eq!(revision(), first);
+    site.assert_no_violations();
+}
