Log which incarnation a run was ordered on, begun by and listed by

PartStarted, PartStopped and PartEnded now name the incarnation by id and start, the token, the attempts, and the phase in which a run was given up. Details get further key= words; none is renamed.

--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -417,8 +417,9 @@
         let agent = run.agent.clone();
         let upstream = run.upstream.clone();
         let detail = format!(
-            "task={id} run={} agent={agent} upstream={} deadline={deadline_ms}",
-            run.number, upstream.id
+            "task={id} run={} agent={agent} upstream={} born={} \
+             token={token} deadline={deadline_ms}",
+            run.number, upstream.id, upstream.born_ms
         );
         self.record_event(Code::PartStarted, id.job, &detail);
         self.send(&agent, ToAgent::Start { upstream, start });
--- a/crates/coordination/src/scheduler/endings.rs
+++ b/crates/coordination/src/scheduler/endings.rs
@@ -35,8 +35,14 @@
         self.dirty.insert(id.job);
         self.pending_work.plan = true;
         let detail = format!(
-            "task={id} run={} agent={} percent={} why={reason}",
-            run.number, run.agent, run.percent
+            "task={id} run={} agent={} upstream={} born={} phase={} \
+             percent={} why={reason}",
+            run.number,
+            run.agent,
+            run.upstream.id,
+            run.upstream.born_ms,
+            run.phase.name(),
+            run.percent
         );
         self.record_event(Code::PartEnded, id.job, &detail);
         self.share_gang_checkpoint(id, &run.checkpoint);
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -31,6 +31,17 @@
     },
 }
 
+impl Phase {
+    /// Returns the name used in logs.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Committing { .. } => "committing",
+            Self::Ordered { .. } => "ordered",
+            Self::Running { .. } => "running",
+        }
+    }
+}
+
 /// A run that may hold resources of a worker.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -410,7 +410,9 @@
         };
         for (task, run, _) in orphans {
             let detail = format!(
-                "task={task} run={run} agent={agent} why=no placement"
+                "task={task} run={run} agent={agent} upstream={} born={} \
+                 clock_ms={} why=no placement",
+                upstream.id, upstream.born_ms, snapshot.clock_ms
             );
             self.record_event(Code::PartStopped, task.job, &detail);
             let message = ToAgent::Stop {
--- a/crates/node/src/fleet/agent/orders.rs
+++ b/crates/node/src/fleet/agent/orders.rs
@@ -39,13 +39,18 @@
     start: &StartOrder,
 ) {
     let started_at = cx.config.clock.now();
-    let outcome = start_or_refuse(cx, target, start);
+    let mut attempts = 0;
+    let outcome = start_or_refuse(cx, target, start, &mut attempts);
     let elapsed = cx.config.clock.now().saturating_sub(started_at);
     cx.journal.metrics.observe_time("start", elapsed);
     let detail = format!(
-        "task={} run={} result={outcome:?} took_ms={}",
+        "task={} run={} upstream={} born={} token={} result={outcome:?} \
+         attempts={attempts} took_ms={}",
         start.task,
         start.run,
+        target.id,
+        target.born_ms,
+        start.token,
         elapsed.as_millis()
     );
     record_event(cx, Code::PartStarted, start.task.job.0, detail);
@@ -58,11 +63,12 @@
 }
 
 /// Starts a run on the registered upstream if that is `target` and accepts
-/// runs.
+/// runs. Counts the calls to the upstream in `attempts`.
 fn start_or_refuse(
     cx: &AgentContext,
     target: &Incarnation,
     start: &StartOrder,
+    attempts: &mut u32,
 ) -> StartOutcome {
     let (upstream, accepts_runs, token) = {
         let state = cx.lock();
@@ -85,6 +91,7 @@
             refused(Refusal::DeadlinePassed)
         }
         Some(u) => start_until_answered(|timeout| {
+            *attempts += 1;
             cx.config.runner.start(u, start, timeout)
         }),
         None => refused(Refusal::OtherIncarnation),
@@ -106,7 +113,10 @@
         let runner = &cx.config.runner;
         runner.stop(&upstream, (task, run), token, timeout)
     });
-    let detail = format!("task={task} run={run} result={stopped:?}");
+    let detail = format!(
+        "task={task} run={run} upstream={} born={} result={stopped:?}",
+        target.id, target.born_ms
+    );
     record_event(cx, Code::PartStopped, task.job.0, detail);
     if let Ok(clock_ms) = stopped {
         let result = StopResult {
