--- /dev/null
+++ b/crates/coordination/tests/fleet/former_incarnations.rs
@@ -0,0 +1,169 @@
+//! Tests of calls that were meant for one incarnation of an upstream and are
+//! executed by the next one under the same id. Its clock and its fencing token
+//! begin anew, and the call names only the id.
+
+use figrill_state::batch::BatchState;
+
+use crate::sim::{Sim, job};
+use crate::{FIRST_JOB, SECOND_JOB, assert_no_violations, count_events};
+
+/// The uptime of an incarnation whose clock is far ahead of that of the next
+/// one, in milliseconds.
+const LONG_UPTIME_MS: u64 = 30_000;
+
+/// When the coordinator changes in a test.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum TakeOver {
+    Never,
+    BeforeRestart,
+    AfterRestart,
+}
+
+impl TakeOver {
+    const ALL: [Self; 3] =
+        [Self::Never, Self::BeforeRestart, Self::AfterRestart];
+}
+
+/// Returns a site whose upstreams have been running for a long time, where the
+/// only task of a job has just started after one call that was not answered.
+/// Also returns the agent beside that upstream.
+fn site_with_repeated_start(late_ms: u64) -> (Sim, String) {
+    let mut sim = Sim::new(2, 1);
+    sim.run(LONG_UPTIME_MS);
+    sim.held_up_starts_ms = vec![late_ms];
+    sim.submit(job(1, 1, 1, 8, 6000));
+    assert!(sim.run_until(1000, |s| count_events(s, "start") == 1));
+    let agent = sim.agent_of_last_start();
+    (sim, agent)
+}
+
+// Guards against a task that starts elsewhere while the next incarnation begins
+// its run, because an answered repeat of the start had shown the run.
+#[test]
+fn a_repeated_start_that_the_next_incarnation_executes_does_not_run_twice() {
+    for take_over in TakeOver::ALL {
+        for late_ms in (300..3000).step_by(50) {
+            let (mut sim, agent) = site_with_repeated_start(late_ms);
+            sim.run(300);
+            if take_over == TakeOver::BeforeRestart {
+                sim.take_over();
+                sim.run(100);
+            }
+            let now = sim.now_ms;
+            sim.pool.restart_upstream(now, &agent);
+            if take_over == TakeOver::AfterRestart {
+                sim.run(100);
+                sim.take_over();
+            }
+            let case = format!("{take_over:?}, {late_ms} ms late");
+            assert!(sim.run_until(20_000, Sim::all_ended), "{case}");
+            assert_no_violations(&sim, &case);
+        }
+    }
+}
+
+// Guards against a task that starts elsewhere while a run goes on whose lease
+// the next incarnation took from a call with a deadline on the former clock.
+#[test]
+fn a_start_that_the_next_incarnation_executes_unseen_does_not_run_twice() {
+    for take_over in TakeOver::ALL {
+        for late_ms in (100..1500).step_by(100) {
+            let mut sim = Sim::new(2, 1);
+            sim.run(LONG_UPTIME_MS);
+            sim.held_up_starts_ms = vec![late_ms];
+            sim.submit(job(1, 1, 1, 8, 30_000));
+            let case = format!("{take_over:?}, {late_ms} ms late");
+            assert!(sim.run_until(500, |s| !s.start_orders.is_empty()));
+            let order = sim.start_orders[0].1.clone();
+            let agent = order.rsplit(' ').next().unwrap_or_default();
+            if take_over == TakeOver::BeforeRestart {
+                sim.take_over();
+            }
+            // The upstream is silent from then on, but a call is on its way.
+            let now = sim.now_ms;
+            sim.pool.restart_upstream(now, agent);
+            sim.set_reachable(agent, false);
+            if take_over == TakeOver::AfterRestart {
+                sim.run(50);
+                sim.take_over();
+            }
+            assert!(
+                sim.run_until(30_000, |s| count_events(s, "start") == 2),
+                "{case}\n{}",
+                sim.pool.trace.join("\n")
+            );
+            sim.set_reachable(agent, true);
+            sim.run(3000);
+            assert_no_violations(&sim, &case);
+        }
+    }
+}
+
+// Guards against a task that starts elsewhere while its run goes on, because a
+// renewal for the former incarnation prolonged the lease of the next one.
+#[test]
+fn a_renewal_for_the_former_incarnation_does_not_prolong_a_lease() {
+    for take_over in TakeOver::ALL {
+        for late_ms in (500..8000).step_by(250) {
+            let mut sim = Sim::new(2, 1);
+            sim.run(LONG_UPTIME_MS);
+            let agents: Vec<String> = sim.pool.nodes.keys().cloned().collect();
+            for agent in &agents {
+                sim.held_up_holds_ms.insert(agent.clone(), late_ms);
+            }
+            sim.run(250);
+            if take_over == TakeOver::BeforeRestart {
+                sim.take_over();
+                sim.run(50);
+            }
+            let now = sim.now_ms;
+            for agent in &agents {
+                sim.pool.restart_upstream(now, agent);
+            }
+            sim.run(600);
+            sim.submit(job(1, 1, 1, 8, 30_000));
+            let case = format!("{take_over:?}, {late_ms} ms late");
+            assert!(
+                sim.run_until(3000, |s| count_events(s, "start") == 1),
+                "{case}"
+            );
+            if take_over == TakeOver::AfterRestart {
+                sim.take_over();
+            }
+            sim.run(100);
+            let agent = sim.agent_of_last_start();
+            sim.set_reachable(&agent, false);
+            assert!(
+                sim.run_until(20_000, |s| count_events(s, "start") == 2),
+                "{case}"
+            );
+            sim.set_reachable(&agent, true);
+            sim.run(3000);
+            assert_no_violations(&sim, &case);
+        }
+    }
+}
+
+// Guards against a done task that runs again, because an acknowledgement for
+// the former incarnation made the next one forget the end of its run.
+#[test]
+fn an_acknowledgement_for_the_former_incarnation_drops_no_end_of_the_next() {
+    for late_ms in (200..3000).step_by(20) {
+        let mut sim = Sim::new(1, 1);
+        sim.run(500);
+        sim.submit(job(1, 1, 4, 2, 300));
+        assert!(sim.run_until(3000, Sim::all_ended));
+        sim.run(500);
+        sim.held_up_holds_ms.insert("agent-00".to_owned(), late_ms);
+        sim.run(250);
+        let now = sim.now_ms;
+        sim.pool.restart_upstream(now, "agent-00");
+        sim.submit(job(2, 1, 3, 2, 700));
+        let case = format!("{late_ms} ms late");
+        assert!(sim.run_until(8000, Sim::all_ended), "{case}");
+        assert_no_violations(&sim, &case);
+        let jobs = [FIRST_JOB, SECOND_JOB];
+        let states = jobs.map(|id| sim.state(id));
+        assert_eq!(states, [BatchState::Done; 2], "{case}");
+    }
+}
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod drains;
 mod ends;
 mod extreme_jobs;
+mod former_incarnations;
 mod gangs;
 mod lost_workers;
 mod many_ends;
--- a/crates/coordination/tests/fleet/random_faults.rs
+++ b/crates/coordination/tests/fleet/random_faults.rs
@@ -15,6 +15,7 @@
             lost_answers: 100,
             late_starts: 60,
             lost_reports: 50,
+            late_holds: 0,
         };
         for id in 0..30 {
             let priority = u32::try_from(sim.random(3)).unwrap_or(0);
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -39,6 +39,9 @@
     /// Calls of an agent to start a run that its upstream does not answer and
     /// executes one to nine seconds late.
     pub late_starts: u64,
+    /// Calls of an agent to renew a lease that its upstream does not answer and
+    /// executes one to nine seconds late.
+    pub late_holds: u64,
     /// Periodic reports of agents that are lost.
     pub lost_reports: u64,
 }
@@ -60,6 +63,11 @@
     /// Whether the coordinator's actions are dropped, as they are while its
     /// lease may have expired.
     pub paused: bool,
+    /// When the next calls to start a run are executed, each without an answer:
+    /// this time after they were made, in milliseconds.
+    pub held_up_starts_ms: Vec<u64>,
+    /// The same for the next calls of an agent to renew a lease.
+    pub held_up_holds_ms: BTreeMap<String, u64>,
     /// The starts that the scheduler has sent: the time in milliseconds, and
     /// `TASK/RUN AGENT`.
     pub start_orders: Vec<(u64, String)>,
@@ -97,6 +105,7 @@
                 name,
                 Agent {
                     grant: Grant::default(),
+                    registered: None,
                     next_renewal_ms: 0,
                 },
             );
@@ -111,6 +120,8 @@
             max_entries: 32,
             max_value_bytes: 1 << 20,
             paused: false,
+            held_up_starts_ms: Vec::new(),
+            held_up_holds_ms: BTreeMap::new(),
             start_orders: Vec::new(),
             quarantines: Vec::new(),
             batches: BTreeMap::new(),
--- a/crates/coordination/tests/fleet/sim/agents.rs
+++ b/crates/coordination/tests/fleet/sim/agents.rs
@@ -1,11 +1,14 @@
 //! Agents: the leases that they renew, and what they do on a coordinator's
 //! messages.
 
+use figrill_coordination::orders::start_until_answered;
 use figrill_coordination::scheduler::message::{
     Grant, Report, StartResult, StopResult, ToAgent,
 };
 use figrill_state::batch::{Incarnation, Resources};
-use figrill_state::runner::{StartOutcome, UpstreamState};
+use figrill_state::runner::{
+    Hold, Refusal, Snapshot, StartOrder, StartOutcome, UpstreamState,
+};
 
 use super::messages::Message;
 use super::{STEP_MS, Sim};
@@ -14,88 +17,141 @@
 /// [`Pool::hold`], in milliseconds.
 const LEASE_RENEWAL_INTERVAL_MS: u64 = 200;
 
-/// The maximum time that a call to an upstream is in flight, in milliseconds.
-const MAX_CALL_MS: u64 = 50;
-
 pub(super) struct Agent {
     pub(super) grant: Grant,
+    /// The incarnation of its upstream that the agent knows.
+    pub(super) registered: Option<Incarnation>,
     pub(super) next_renewal_ms: u64,
 }
 
 impl Sim {
-    /// Handles a coordinator's message at an agent. The message is lost if the
-    /// agent's upstream cannot be reached.
+    /// Handles a coordinator's message at an agent, other than a start. The
+    /// message is lost if the agent's upstream cannot be reached.
     pub(super) fn handle_at_agent(&mut self, name: &str, message: ToAgent) {
-        let Some(node) = self.pool.nodes.get(name) else {
+        let Some(node) = self.pool.nodes.get(name).filter(|n| n.reachable)
+        else {
             return;
         };
-        if !node.reachable {
-            return;
-        }
-        let incarnation = node.upstream.incarnation.clone();
-        let draining = node.upstream.draining;
+        let present = node.upstream.clone();
         match message {
             ToAgent::Grant(grant) => self.apply_grant(name, grant),
-            ToAgent::Start { upstream, start } => {
-                // A call addresses the upstream and not its incarnation, so a
-                // call that is in flight during a restart reaches the new
-                // incarnation. A call for an earlier incarnation that is
-                // executed more than `MAX_CALL_MS` after the restart counts as
-                // received before it, and was lost with that incarnation.
-                let arrived_before_restart =
-                    self.now_ms > incarnation.born_ms + MAX_CALL_MS;
-                let is_received = upstream == incarnation
-                    || upstream.id == incarnation.id
-                        && !arrived_before_restart;
-                if !is_received || draining {
-                    return;
-                }
-                let outcome =
-                    self.pool.start(self.now_ms, name, &incarnation, &start);
-                let lost = self.random(1000) < self.faults.lost_answers;
-                let report = Report {
-                    start_results: vec![StartResult {
-                        task: start.task,
-                        run: start.run,
-                        outcome: if lost {
-                            StartOutcome::Unknown
-                        } else {
-                            outcome
-                        },
-                    }],
-                    ..Report::default()
-                };
-                self.send(
-                    STEP_MS,
-                    Message::Report(name.to_owned(), Box::new(report)),
-                );
-            }
             ToAgent::Stop {
                 upstream,
                 token,
                 task,
                 run,
-            } if upstream == incarnation => {
+            } if upstream == present.incarnation
+                && self.is_registered(name, &upstream) =>
+            {
                 self.pool.stop(self.now_ms, name, task, run, token);
-                let clock_ms = self.now_ms - incarnation.born_ms;
-                let node = self.pool.nodes.get(name);
+                let clock_ms = self.now_ms - upstream.born_ms;
+                let result = StopResult {
+                    task,
+                    run,
+                    clock_ms,
+                };
                 let report = Report {
-                    upstream: node.map(|n| n.upstream.clone()),
-                    stop_results: vec![StopResult {
-                        task,
-                        run,
-                        clock_ms,
-                    }],
+                    upstream: Some(present),
+                    stop_results: vec![result],
                     ..Report::default()
                 };
-                let message =
-                    Message::Report(name.to_owned(), Box::new(report));
-                self.send(STEP_MS, message);
+                self.send_report(name, report);
+            }
+            ToAgent::Stop { .. } | ToAgent::Start { .. } => {}
+        }
+    }
+
+    fn is_registered(&self, name: &str, incarnation: &Incarnation) -> bool {
+        let agent = self.agents.get(name);
+        agent.is_some_and(|a| a.registered.as_ref() == Some(incarnation))
+    }
+
+    /// Handles a start at an agent, after a number of calls for it that were
+    /// not answered. It is lost if the agent's upstream cannot be reached.
+    pub(super) fn start_at_agent(
+        &mut self,
+        name: &str,
+        target: &Incarnation,
+        start: &StartOrder,
+        unanswered: usize,
+    ) {
+        let node = self.pool.nodes.get(name).filter(|n| n.reachable);
+        if node.is_none_or(|n| n.upstream.draining) {
+            return;
+        }
+        let lost = self.random(1000) < self.faults.lost_answers;
+        let answer = if self.is_registered(name, target) {
+            self.execute_start(name, target, start)
+        } else {
+            StartOutcome::Refused(Refusal::OtherIncarnation)
+        };
+        let mut attempts = 0;
+        let outcome = start_until_answered(|_| {
+            attempts += 1;
+            if attempts <= unanswered || lost {
+                StartOutcome::Unknown
+            } else {
+                answer
             }
-            ToAgent::Stop { .. } => {}
+        });
+        let report = Report {
+            start_results: vec![StartResult {
+                task: start.task,
+                run: start.run,
+                outcome,
+            }],
+            ..Report::default()
+        };
+        self.send_report(name, report);
+    }
+
+    /// Executes a call to start a run. It names the id of an upstream and not
+    /// its incarnation, so any incarnation with that id executes it.
+    pub(super) fn execute_start(
+        &mut self,
+        name: &str,
+        target: &Incarnation,
+        start: &StartOrder,
+    ) -> StartOutcome {
+        match self.incarnation_called(name, target) {
+            Some(called) => self.pool.start(self.now_ms, name, &called, start),
+            None => StartOutcome::Refused(Refusal::OtherIncarnation),
         }
     }
 
+    /// Executes a call to renew a lease, like [`Self::execute_start`].
+    pub(super) fn execute_hold(
+        &mut self,
+        name: &str,
+        target: &Incarnation,
+        hold: Hold,
+    ) -> Option<Snapshot> {
+        self.incarnation_called(name, target)?;
+        self.pool.hold(
+            self.now_ms,
+            name,
+            hold.token,
+            hold.acknowledged,
+            hold.deadline_ms,
+        )
+    }
+
+    /// Returns the incarnation that executes a call to `target`.
+    fn incarnation_called(
+        &self,
+        name: &str,
+        target: &Incarnation,
+    ) -> Option<Incarnation> {
+        let node = self.pool.nodes.get(name)?;
+        let present = &node.upstream.incarnation;
+        (present.id == target.id).then(|| present.clone())
+    }
+
+    fn send_report(&mut self, name: &str, report: Report) {
+        let message = Message::Report(name.to_owned(), Box::new(report));
+        self.send(STEP_MS, message);
+    }
+
     /// Extends an agent's grant, or replaces it by that of a newer coordinator
     /// or another incarnation. Grants of replaced coordinators are ignored.
     fn apply_grant(&mut self, name: &str, grant: Grant) {
@@ -131,38 +187,59 @@
     pub(super) fn renew_leases(&mut self) {
         let names: Vec<String> = self.agents.keys().cloned().collect();
         for name in names {
-            let Some(agent) = self.agents.get_mut(&name) else {
-                continue;
-            };
-            if self.now_ms < agent.next_renewal_ms || agent.grant.token == 0 {
-                continue;
+            let is_due = self.agents.get(&name).is_some_and(|a| {
+                self.now_ms >= a.next_renewal_ms && a.grant.token > 0
+            });
+            if is_due {
+                self.renew_lease(&name);
             }
-            agent.next_renewal_ms = self.now_ms + LEASE_RENEWAL_INTERVAL_MS;
-            let grant = agent.grant.clone();
-            let Some(node) = self.pool.nodes.get(&name) else {
-                continue;
-            };
-            if !node.reachable {
-                continue;
-            }
-            let upstream = node.upstream.clone();
-            let is_current = grant.upstream == upstream.incarnation;
-            let snapshot = self.pool.hold(
-                self.now_ms,
-                &name,
-                grant.token,
-                if is_current { grant.acknowledged } else { 0 },
-                grant.deadline_ms.filter(|_| is_current),
-            );
+        }
+    }
+
+    fn renew_lease(&mut self, name: &str) {
+        let Some(agent) = self.agents.get_mut(name) else {
+            return;
+        };
+        agent.next_renewal_ms = self.now_ms + LEASE_RENEWAL_INTERVAL_MS;
+        let grant = agent.grant.clone();
+        let node = self.pool.nodes.get(name).filter(|n| n.reachable);
+        let Some(upstream) = node.map(|n| n.upstream.clone()) else {
+            return;
+        };
+        let incarnation = &upstream.incarnation;
+        let registered = agent.registered.replace(incarnation.clone());
+        let is_current = grant.upstream == *incarnation;
+        let hold = Hold {
+            token: grant.token,
+            acknowledged: if is_current { grant.acknowledged } else { 0 },
+            deadline_ms: grant.deadline_ms.filter(|_| is_current),
+            ..Hold::default()
+        };
+        if let Some(ended) = registered.filter(|r| r != incarnation) {
+            // Another incarnation has answered. Its heartbeat follows.
+            agent.registered = None;
             let report = Report {
-                token: grant.token,
-                upstream: Some(upstream),
-                snapshot,
+                ended_incarnation: Some(ended),
                 ..Report::default()
             };
-            if self.random(1000) >= self.faults.lost_reports {
-                self.send(STEP_MS, Message::Report(name, Box::new(report)));
-            }
+            self.send_report(name, report);
+            return;
+        }
+        if let Some(late_ms) = self.lateness_of_hold(name) {
+            let target = incarnation.clone();
+            let message = Message::LateHold(name.to_owned(), target, hold);
+            self.send(late_ms, message);
+            return;
+        }
+        let snapshot = self.execute_hold(name, incarnation, hold);
+        let report = Report {
+            token: grant.token,
+            upstream: Some(upstream),
+            snapshot,
+            ..Report::default()
+        };
+        if self.random(1000) >= self.faults.lost_reports {
+            self.send_report(name, report);
         }
     }
 }
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -2,8 +2,9 @@
 
 use figrill_coordination::scheduler::Action;
 use figrill_coordination::scheduler::message::{Report, StartResult, ToAgent};
+use figrill_state::batch::Incarnation;
 use figrill_state::event::Code;
-use figrill_state::runner::StartOutcome;
+use figrill_state::runner::{Hold, StartOrder, StartOutcome};
 
 use super::{STEP_MS, Sim};
 
@@ -15,9 +16,15 @@
 pub(super) enum Message {
     /// From the coordinator to the named agent.
     ToAgent(String, ToAgent),
+    /// From the coordinator to the named agent: a start, with the number of
+    /// calls for it that were left unanswered.
+    Start(String, Incarnation, StartOrder, usize),
     /// A call of the named agent to start a run that is executed late; nobody
     /// waits for its answer.
-    LateStart(String, ToAgent),
+    LateStart(String, Incarnation, StartOrder),
+    /// A call of the named agent to renew a lease that is executed late; nobody
+    /// waits for its answer.
+    LateHold(String, Incarnation, Hold),
     /// From the named agent to the coordinator.
     Report(String, Box<Report>),
     /// The store's answer to the commit of this number: its revision.
@@ -40,11 +47,11 @@
                 self.quarantines.push(event.detail.clone());
             }
             if let Action::Send { agent, message } = action {
-                if let ToAgent::Start { start, .. } = &message {
+                if let ToAgent::Start { upstream, start } = message {
                     let order =
                         format!("{}/{} {agent}", start.task, start.run);
                     self.start_orders.push((self.now_ms, order));
-                    self.send_start(&agent, message);
+                    self.send_start(&agent, &upstream, &start);
                 } else {
                     self.send(STEP_MS, Message::ToAgent(agent, message));
                 }
@@ -54,22 +61,28 @@
 
     /// Lets an agent call its upstream to start a run, and repeat the call
     /// when it is not answered.
-    fn send_start(&mut self, agent: &str, message: ToAgent) {
-        let ToAgent::Start { start, .. } = &message else {
-            return;
-        };
+    fn send_start(
+        &mut self,
+        agent: &str,
+        upstream: &Incarnation,
+        start: &StartOrder,
+    ) {
         let (task, run) = (start.task, start.run);
         let mut delay_ms = STEP_MS;
-        for timeout_ms in START_TIMEOUTS_MS {
-            if self.random(1000) >= self.faults.late_starts {
-                let message = Message::ToAgent(agent.to_owned(), message);
+        for (unanswered, timeout_ms) in
+            START_TIMEOUTS_MS.into_iter().enumerate()
+        {
+            let (agent, upstream) = (agent.to_owned(), upstream.clone());
+            let Some(late_ms) = self.lateness_of_start() else {
+                let start = start.clone();
+                let message =
+                    Message::Start(agent, upstream, start, unanswered);
                 self.send(delay_ms, message);
                 return;
-            }
-            let late_ms = 1000 + self.random(8000);
+            };
             self.send(
                 delay_ms + late_ms,
-                Message::LateStart(agent.to_owned(), message.clone()),
+                Message::LateStart(agent, upstream, start.clone()),
             );
             delay_ms += timeout_ms;
         }
@@ -84,6 +97,32 @@
         );
     }
 
+    /// Returns how late the next call to start a run is executed, in
+    /// milliseconds; `None` if it is answered.
+    fn lateness_of_start(&mut self) -> Option<u64> {
+        if !self.held_up_starts_ms.is_empty() {
+            return Some(self.held_up_starts_ms.remove(0));
+        }
+        let is_late = self.random(1000) < self.faults.late_starts;
+        is_late.then(|| self.random_lateness())
+    }
+
+    /// Returns how late an agent's next call to renew a lease is executed, in
+    /// milliseconds; `None` if it is answered.
+    pub(super) fn lateness_of_hold(&mut self, agent: &str) -> Option<u64> {
+        if let Some(late_ms) = self.held_up_holds_ms.remove(agent) {
+            return Some(late_ms);
+        }
+        let is_late = self.random(1000) < self.faults.late_holds;
+        is_late.then(|| self.random_lateness())
+    }
+
+    /// Returns how late a call is executed that nobody waits for any more, in
+    /// milliseconds.
+    fn random_lateness(&mut self) -> u64 {
+        1000 + self.random(8000)
+    }
+
     pub(super) fn send(&mut self, delay_ms: u64, message: Message) {
         self.in_flight
             .push((self.now_ms + delay_ms, self.token, message));
@@ -111,10 +150,14 @@
             Message::ToAgent(agent, message) => {
                 self.handle_at_agent(&agent, message);
             }
-            Message::LateStart(agent, message) => {
-                let reports = self.in_flight.len();
-                self.handle_at_agent(&agent, message);
-                self.in_flight.truncate(reports);
+            Message::Start(agent, upstream, start, unanswered) => {
+                self.start_at_agent(&agent, &upstream, &start, unanswered);
+            }
+            Message::LateStart(agent, upstream, start) => {
+                self.execute_start(&agent, &upstream, &start);
+            }
+            Message::LateHold(agent, upstream, hold) => {
+                self.execute_hold(&agent, &upstream, hold);
             }
             _ => {}
         }
--- a/crates/coordination/tests/fleet/sim/store.rs
+++ b/crates/coordination/tests/fleet/sim/store.rs
@@ -24,7 +24,8 @@
     /// Messages that the earlier one sent to agents stay in flight; messages
     /// to it are lost.
     pub fn take_over(&mut self) {
-        self.token += 1;
+        self.revision += 1;
+        self.token = self.revision;
         self.commit = None;
         self.in_flight
             .retain(|(_, _, message)| !is_for_coordinator(message));
