Keep a run whose start may still reach the next incarnation

Cause: an upstream that is back under its old id executes calls that were meant for its former incarnation, as calls name only the id. The scheduler took a run for ended together with the incarnation that it was placed on, once an answer or a list had shown it there. But a start is repeated when it is not answered, and the unanswered call can begin the run a second time, on the next incarnation. There its deadline, a time on the former clock, gives a lease of the maximum, 10 s from its arrival, while the scheduler counted 9 s from its own last grant.

Fix: a run is settled once all calls to start it were answered and the incarnation that executed them is known, by a list or by the clock of the answer. Until then it is given up only when the next incarnation has acknowledged its stop, or an upstream with another id has taken the place, or every lease that a call could have begun has ended: 2.5 s after the order and the maximum lease. The sentinel of a time that never comes is a phase of its own. An agent reports a start as unknown if one of its calls was not answered; the next list shows the run. E3111 PartUnsettled tells that a task waits for this reason.

--- a/crates/coordination/src/orders.rs
+++ b/crates/coordination/src/orders.rs
@@ -22,8 +22,10 @@
 /// Calls `start`, with the timeout of the attempt, until it is answered or
 /// all attempts are used.
 ///
-/// After an attempt without an answer, a refusal says nothing about that
-/// attempt, which may have begun the run. The outcome is unknown then.
+/// After an attempt without an answer, that of a later one says nothing about
+/// it: it may have begun the run though a repeat was refused, and it may begin
+/// the run again at a later incarnation of the upstream though a repeat showed
+/// that it is active. The outcome is unknown then.
 pub fn start_until_answered(
     mut start: impl FnMut(Duration) -> StartOutcome,
 ) -> StartOutcome {
@@ -31,9 +33,7 @@
     for timeout in ATTEMPT_TIMEOUTS {
         match start(timeout) {
             StartOutcome::Unknown => any_unanswered = true,
-            StartOutcome::Refused(_) if any_unanswered => {
-                return StartOutcome::Unknown;
-            }
+            _ if any_unanswered => return StartOutcome::Unknown,
             answered => return answered,
         }
     }
--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -61,6 +61,11 @@
 /// How long an upstream may still begin a run after its start was ordered.
 const START_WINDOW: Duration = Duration::from_millis(1500);
 
+/// How long after its order a call to start a run may reach an incarnation of
+/// the upstream that nobody hears of. Agents make such calls for less than
+/// [`START_WINDOW`].
+const MAX_START_DELAY: Duration = Duration::from_millis(2500);
+
 /// The maximum time between two checks of all runs, and between two planning
 /// passes. Most inputs change nothing that concerns either, and there are
 /// hundreds of them a second.
@@ -190,6 +195,8 @@
                 },
                 placed_at: now.monotonic,
                 ordered_at: Some(now.monotonic),
+                is_answered: false,
+                settled_at: self.settling_time(now.monotonic),
                 stopping: None,
                 checkpoint: progress.checkpoint,
                 percent: 0,
@@ -325,6 +332,22 @@
             + EXPIRY_MARGIN
     }
 
+    /// Returns the time at which every run under a lease that was taken at
+    /// `taken_at` has certainly ended, however far ahead its deadline was. An
+    /// upstream shortens a lease to [`Limits::max_lease`].
+    fn lease_expiry(&self, taken_at: Duration) -> Duration {
+        taken_at
+            + self.limits.max_lease.mul_f64(CLOCK_DRIFT_FACTOR)
+            + self.limits.stop_grace
+            + EXPIRY_MARGIN
+    }
+
+    /// Returns the [`Run::settled_at`] of a run whose start was ordered at
+    /// `ordered_at`.
+    fn settling_time(&self, ordered_at: Duration) -> Duration {
+        self.lease_expiry(ordered_at + MAX_START_DELAY)
+    }
+
     fn send(&mut self, agent: &str, message: ToAgent) {
         let agent = agent.to_owned();
         self.actions.push(Action::Send { agent, message });
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -387,6 +387,7 @@
     /// Orders the start of a run, unless it was released in the meantime.
     fn order_start(&mut self, now: Now, id: TaskId) {
         let token = self.token;
+        let settled_at = self.settling_time(now.monotonic);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -405,6 +406,7 @@
             conclusive_after_ms: deadline_ms,
         };
         run.ordered_at = Some(now.monotonic);
+        run.settled_at = settled_at;
         run.progressed_at = now.monotonic;
         let start = StartOrder {
             task: id,
--- a/crates/coordination/src/scheduler/incarnations.rs
+++ b/crates/coordination/src/scheduler/incarnations.rs
@@ -77,9 +77,10 @@
     /// Releases the runs that were placed on earlier incarnations of an
     /// upstream.
     ///
-    /// A start that no earlier incarnation answered may still reach the
-    /// current one if both have the same name, because calls address an
-    /// upstream only by its name. Such a run is first stopped on the current
+    /// A call to start a run that was not answered may still reach the current
+    /// incarnation if it has the same id, because calls name only the id. That
+    /// the earlier incarnation has listed the run says nothing about such a
+    /// call, which may be a repeat. The run is first stopped on the current
     /// incarnation, so that it cannot begin there while its task already runs
     /// elsewhere.
     fn release_earlier_incarnations(
@@ -89,7 +90,7 @@
         current: &Incarnation,
     ) {
         for task in self.tasks_placed_on(agent, |placed| placed != current) {
-            if !self.stop_on_successor(task, current) {
+            if !self.stop_on_successor(now, task, current) {
                 self.release(task, "its upstream was replaced");
             }
             self.request_gang_stop(task, "a gang member was lost");
@@ -101,22 +102,29 @@
     /// its start may still arrive there. Returns `false` if it cannot.
     fn stop_on_successor(
         &mut self,
+        now: Now,
         task: TaskId,
         incarnation: &Incarnation,
     ) -> bool {
+        let is_settled = self.is_settled(now, task);
         let job = self.jobs.get_mut(&task.job);
         let Some(run) = job.and_then(|j| j.runs.get_mut(&task)) else {
             return false;
         };
-        let is_ordered = matches!(run.phase, Phase::Ordered { .. });
-        if !is_ordered || run.upstream.id != incarnation.id {
+        if is_settled || run.upstream.id != incarnation.id {
             return false;
         }
+        let detail = format!(
+            "task={task} run={} agent={} upstream={} born={} \
+             why=the next incarnation of its upstream may begin it",
+            run.number, run.agent, incarnation.id, incarnation.born_ms
+        );
         run.upstream = incarnation.clone();
-        run.phase = Phase::Ordered {
-            conclusive_after_ms: u64::MAX,
+        run.phase = Phase::Superseded {
+            stopped_at_ms: None,
         };
         run.stopping = Some(Duration::ZERO);
+        self.record_event(Code::PartStopped, task.job, &detail);
         true
     }
 
@@ -132,55 +140,64 @@
         let Some(run) = job.and_then(|j| j.runs.get_mut(&result.task)) else {
             return;
         };
-        let awaiting_stop = run.agent == agent
+        let is_current = run.agent == agent
             && run.upstream == *incarnation
-            && run.number == result.run
-            && run.phase
-                == Phase::Ordered {
-                    conclusive_after_ms: u64::MAX,
-                };
-        if awaiting_stop {
-            run.phase = Phase::Ordered {
-                conclusive_after_ms: result.clock_ms,
-            };
+            && run.number == result.run;
+        if is_current
+            && let Phase::Superseded { stopped_at_ms } = &mut run.phase
+        {
+            stopped_at_ms.get_or_insert(result.clock_ms);
         }
     }
 
     /// Releases the runs of an incarnation that has ended. A run whose start
-    /// was not answered is kept until its grant has expired: a later
-    /// incarnation with the same id would still carry out the order, unless
-    /// the run is stopped there first.
+    /// is not settled is kept: a later incarnation with the same id would still
+    /// carry out the order, unless the run is stopped there first.
     pub(super) fn handle_ended_incarnation(
         &mut self,
+        now: Now,
         agent: &str,
         ended_incarnation: &Incarnation,
     ) {
-        if let Some(worker) = self.workers.get_mut(agent)
-            && worker.incarnation() == Some(ended_incarnation)
-        {
-            worker.upstream = None;
-            worker.clock = None;
-        }
+        let worker = self.workers.get_mut(agent);
+        let is_news = worker
+            .is_some_and(|worker| worker.end_incarnation(ended_incarnation));
         for task in
             self.tasks_placed_on(agent, |placed| placed == ended_incarnation)
         {
-            if !self.start_is_unanswered(task) {
+            if self.is_settled(now, task) {
                 self.release(task, "its upstream has ended");
+            } else if is_news {
+                self.record_unsettled(now, task);
             }
             self.request_gang_stop(task, "a gang member was lost");
         }
     }
 
-    /// Returns whether this coordinator has ordered the start of a task's run
-    /// and does not know yet whether it has begun.
-    fn start_is_unanswered(&self, id: TaskId) -> bool {
+    fn record_unsettled(&mut self, now: Now, id: TaskId) {
+        let job = self.jobs.get(&id.job);
+        let Some(run) = job.and_then(|j| j.runs.get(&id)) else {
+            return;
+        };
+        let waits = run.settled_at.saturating_sub(now.monotonic);
+        let detail = format!(
+            "task={id} run={} agent={} upstream={} born={} phase={} \
+             answered={} waits_ms={}",
+            run.number,
+            run.agent,
+            run.upstream.id,
+            run.upstream.born_ms,
+            run.phase.name(),
+            run.is_answered,
+            waits.as_millis()
+        );
+        self.record_event(Code::PartUnsettled, id.job, &detail);
+    }
+
+    /// Returns whether no call to start a task's run can begin it any more.
+    pub(super) fn is_settled(&self, now: Now, id: TaskId) -> bool {
         let run = self.jobs.get(&id.job).and_then(|j| j.runs.get(&id));
-        run.is_some_and(|r| {
-            matches!(
-                r.phase,
-                Phase::Ordered { conclusive_after_ms } if conclusive_after_ms > 0
-            )
-        })
+        run.is_none_or(|r| now.monotonic >= r.settled_at)
     }
 
     /// Returns the tasks on an agent whose placement is on an incarnation for
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -19,11 +19,17 @@
     /// The start was ordered. A snapshot that is taken later than
     /// `conclusive_after_ms` shows whether the run exists.
     Ordered {
-        /// A time on the upstream's clock, in milliseconds. It is
-        /// [`u64::MAX`] while a later incarnation of the upstream has still
-        /// to acknowledge the stop of the run.
+        /// A time on the upstream's clock, in milliseconds.
         conclusive_after_ms: u64,
     },
+    /// The upstream has ended, and the run is being stopped on the next
+    /// incarnation, which a call to start it may still reach.
+    Superseded {
+        /// When the next incarnation acknowledged the stop, in milliseconds on
+        /// its clock. A snapshot that is taken later shows whether the run
+        /// exists there.
+        stopped_at_ms: Option<u64>,
+    },
     /// The upstream has listed or confirmed the run.
     Running {
         /// The upstream's clock when it first did so, in milliseconds.
@@ -32,11 +38,17 @@
 }
 
 impl Phase {
+    /// Returns whether the start was ordered and nothing has shown the run.
+    pub(super) const fn awaits_start(self) -> bool {
+        matches!(self, Self::Ordered { .. } | Self::Superseded { .. })
+    }
+
     /// Returns the name used in logs.
     pub(super) const fn name(self) -> &'static str {
         match self {
             Self::Committing { .. } => "committing",
             Self::Ordered { .. } => "ordered",
+            Self::Superseded { .. } => "superseded",
             Self::Running { .. } => "running",
         }
     }
@@ -54,6 +66,13 @@
     pub(super) placed_at: Duration,
     /// When its start was ordered; `None` before that.
     pub(super) ordered_at: Option<Duration>,
+    /// Whether its agent has made all calls to start it, and every one of them
+    /// was answered.
+    pub(super) is_answered: bool,
+    /// From when on no call to start the run can begin it any more, nor have
+    /// begun it at an incarnation that nobody has heard of and whose lease
+    /// lasts. Zero once its upstream is known to have executed the only call.
+    pub(super) settled_at: Duration,
     /// When a stop was last sent, if the run is to be stopped; zero if none
     /// was sent yet.
     pub(super) stopping: Option<Duration>,
@@ -238,6 +257,8 @@
             phase: Phase::Committing { commit: None },
             placed_at: now,
             ordered_at: None,
+            is_answered: false,
+            settled_at: Duration::ZERO,
             stopping: None,
             checkpoint: checkpoint.to_owned(),
             percent: 0,
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -1,7 +1,7 @@
 //! Handling of the reports of agents: which runs of their upstreams are active
 //! or have ended.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use figrill_state::{
     batch::{Incarnation, TaskId},
@@ -35,7 +35,7 @@
         }
     }
     if let Some(ended_incarnation) = &report.ended_incarnation {
-        scheduler.handle_ended_incarnation(agent, ended_incarnation);
+        scheduler.handle_ended_incarnation(now, agent, ended_incarnation);
     }
     let Some(upstream) = report.upstream else {
         return;
@@ -71,7 +71,7 @@
         let (id, outcome) = (result.task, result.outcome);
         let worker = self.workers.get(agent);
         let earliest_clock_ms =
-            worker.map_or(0, |w| w.earliest_clock(now.monotonic));
+            worker.and_then(|w| w.earliest_clock(now.monotonic));
         if matches!(outcome, StartOutcome::Running { .. }) {
             self.record_start(now, id, agent, "answer");
         }
@@ -85,22 +85,28 @@
             return;
         };
         match outcome {
-            // An answer with such a clock may come from a later incarnation
-            // of the same name, whose clock was reset. The next snapshot
-            // shows whether the run exists.
-            StartOutcome::Running { clock_ms }
-                if clock_ms < earliest_clock_ms => {}
             StartOutcome::Running { clock_ms } => {
-                if matches!(run.phase, Phase::Ordered { .. }) {
-                    run.phase = Phase::Running {
-                        first_seen_ms: clock_ms,
-                    };
-                    run.progressed_at = now.monotonic;
+                // An answer with a lower clock may come from a later
+                // incarnation of the same id, whose clock was reset. The next
+                // snapshot shows whether the run exists.
+                let is_of_known_incarnation =
+                    earliest_clock_ms.is_some_and(|ms| clock_ms >= ms);
+                run.is_answered = true;
+                match run.phase {
+                    Phase::Ordered { .. } if is_of_known_incarnation => {
+                        run.settled_at = Duration::ZERO;
+                        run.progressed_at = now.monotonic;
+                        run.phase = Phase::Running {
+                            first_seen_ms: clock_ms,
+                        };
+                    }
+                    Phase::Running { .. } => run.settled_at = Duration::ZERO,
+                    _ => {}
                 }
             }
             StartOutcome::Unknown => {}
             StartOutcome::Refused(refusal) => {
-                if !matches!(run.phase, Phase::Ordered { .. }) {
+                if !run.phase.awaits_start() {
                     return;
                 }
                 self.release(id, refusal.name());
@@ -312,6 +318,9 @@
         {
             return;
         }
+        if run.is_answered {
+            run.settled_at = Duration::ZERO;
+        }
         if let Phase::Ordered { .. } = run.phase {
             run.phase = Phase::Running {
                 first_seen_ms: clock_ms,
@@ -363,6 +372,9 @@
                     Phase::Ordered {
                         conclusive_after_ms,
                     } => conclusive_after_ms,
+                    Phase::Superseded { stopped_at_ms } => {
+                        stopped_at_ms.unwrap_or(u64::MAX)
+                    }
                     Phase::Running { first_seen_ms } => first_seen_ms,
                 };
                 snapshot.clock_ms > conclusive_after_ms
--- a/crates/coordination/src/scheduler/watch.rs
+++ b/crates/coordination/src/scheduler/watch.rs
@@ -38,7 +38,9 @@
             .values()
             .filter(|w| now.monotonic >= w.expires_at)
             .flat_map(|w| w.allocations.keys().copied())
-            .filter(|task| self.was_ordered(*task))
+            .filter(|task| {
+                self.was_ordered(*task) && self.is_settled(now, *task)
+            })
             .collect();
         for task in lost {
             self.release(task, "worker unreachable until its grant expired");
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -115,6 +115,17 @@
         Some(clock + u64::try_from(elapsed).unwrap_or(0))
     }
 
+    /// Records that an incarnation has ended. Returns whether it was the known
+    /// one.
+    pub(super) fn end_incarnation(&mut self, ended: &Incarnation) -> bool {
+        let was_known = self.incarnation() == Some(ended);
+        if was_known {
+            self.upstream = None;
+            self.clock = None;
+        }
+        was_known
+    }
+
     /// Forgets what belongs to an incarnation that another one replaces:
     /// everything that was ordered on it ended with it, and its clock and its
     /// sequence numbers no longer apply.
@@ -131,12 +142,12 @@
     /// known to come from the incarnation of the latest snapshot: an answer
     /// of that incarnation is not older than the snapshot, and a later
     /// incarnation has not been running for longer than since the snapshot.
-    pub(super) fn earliest_clock(&self, now: Duration) -> u64 {
-        let Some((clock, at)) = self.clock else {
-            return 0;
-        };
+    /// Returns `None` if there is no snapshot of the incarnation.
+    pub(super) fn earliest_clock(&self, now: Duration) -> Option<u64> {
+        let (clock, at) = self.clock?;
         let elapsed = now.saturating_sub(at) + MAX_REPORT_DELAY;
-        clock.max(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+        let elapsed_ms = u64::try_from(elapsed.as_millis());
+        Some(clock.max(elapsed_ms.unwrap_or(u64::MAX)))
     }
 
     /// Returns the resources that neither placements nor orphaned runs hold.
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -120,6 +120,7 @@
     GangFailed 3108 Info "a part was lost or failed; the lead stops the rest",
     GangDone 3109 Debug "the lead has the complete answer",
     RunLeaseLapsed 3110 Warn "a member lost contact with its lead and stops its part",
+    PartUnsettled 3111 Info "the upstream of a part has ended, but the next incarnation may still begin it, so its task waits",
 }
 
 /// A timestamp in hybrid logical time.
