Take only the acknowledgement of a success for one in the model of upstreams

The model took the acknowledgement of any end of a run for that of its success, if the same run had succeeded on an incarnation that ended before its list was read. 'A start after a run has ended done' counts only if that end is taken note of.

--- a/crates/example/src/pool/checks.rs
+++ b/crates/example/src/pool/checks.rs
@@ -1,6 +1,9 @@
 //! What the upstreams observe of the rules that a scheduler has to keep.
 
-use figrill_state::{batch::TaskId, runner::EndedRun};
+use figrill_state::{
+    batch::TaskId,
+    runner::{EndedRun, RunEnd},
+};
 
 use super::Pool;
 
@@ -55,6 +58,10 @@
         ended: &EndedRun,
         last_expiry_ms: Option<u64>,
     ) {
+        // The same run may have ended otherwise on another incarnation.
+        if ended.end != RunEnd::Done {
+            return;
+        }
         let run = (ended.task, ended.run);
         let Some(success) = self.successes.get(&run) else {
             return;
