Give each incarnation of an upstream orders with a fencing token of its own

In the model besides: a task that was done ran again, and a worker was filled beyond its capacity.

An upstream that is back under its old id has seen no fencing token, so it executes all calls that were meant for its former incarnation, seconds later, too. A renewal sets a lease with a deadline on the former clock, 10 s from its arrival; an acknowledgement forgets ends that nobody has read; a start that was given up long ago begins.

Fix: the orders to each further incarnation that a coordinator sees carry a higher token, the revision of one of its own commits. Nothing is placed there before a list that was taken under the new token. Such a list is final: what it lacks cannot begin any more. Leases from before it count with the maximum that an upstream accepts, also for a coordinator that has just taken over. If nothing was committed since the former incarnation, a commit of the ledger alone gives the token.

tests/ended_incarnations.rs: its store now counts revisions, and its agent repeats a list under a higher token, as the program's does. The assertions are the same.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -31,6 +31,7 @@
 mod commit;
 mod ended_jobs;
 mod endings;
+mod fences;
 mod incarnations;
 mod job;
 pub mod message;
@@ -205,7 +206,9 @@
             };
             let needs = job.batch.step(task).map(|s| s.needs);
             job.runs.insert(task, run);
-            let expires_at = self.grant_expiry(self.started_at);
+            // The upstream may have taken a lease as far ahead as it accepts,
+            // from a call that was meant for an earlier incarnation.
+            let expires_at = self.lease_expiry(self.started_at);
             let worker = self.workers.entry(placement.agent).or_default();
             worker.expires_at = worker.expires_at.max(expires_at);
             worker.allocations.insert(task, needs.unwrap_or_default());
@@ -277,7 +280,7 @@
     /// once.
     pub fn agent_connected(&mut self, agent: &str) {
         let grant = Grant {
-            token: self.token,
+            token: self.order_token(agent),
             ..Grant::default()
         };
         self.send(agent, ToAgent::Grant(grant));
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -65,6 +65,8 @@
 #[derive(Debug, Default)]
 pub(super) struct CommitState {
     number: u64,
+    /// The revision of the store at the last successful commit of this term.
+    revision: u64,
     in_flight: Option<InFlight>,
     /// The maximum number of jobs in the next commit; `None` unless an earlier
     /// one was rejected.
@@ -96,6 +98,12 @@
         jobs.is_some_and(|jobs| jobs.contains(&id))
     }
 
+    /// Returns the revision of the store at the last successful commit of
+    /// this term; 0 if there was none.
+    pub(super) const fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns the number of jobs that the next commit may contain.
     fn max_jobs(&self) -> usize {
         self.max_jobs.unwrap_or(Txn::MAX_ENTRIES)
@@ -108,7 +116,8 @@
     pub fn take_commit(&mut self, now: Now) -> Option<Commit> {
         let is_clean = self.dirty.is_empty()
             && !self.ended_jobs.has_due()
-            && !self.queued_changed;
+            && !self.queued_changed
+            && !self.awaits_fence();
         if self.commit_state.in_flight.is_some() || is_clean {
             return None;
         }
@@ -210,6 +219,8 @@
         let max_jobs = self.commit_state.max_jobs.map(|n| 2 * n);
         self.commit_state.max_jobs =
             max_jobs.filter(|n| *n < Txn::MAX_ENTRIES);
+        self.commit_state.revision = self.commit_state.revision.max(revision);
+        self.assign_fences();
         self.ended_jobs.record_removals(&commit.removals, revision);
         let mut agents = BTreeSet::new();
         for (agent, born_ms, end) in commit.ends {
@@ -289,6 +300,7 @@
 
     /// Sends an agent the number up to which its ends of runs are committed.
     fn send_acknowledgement(&mut self, agent: &str) {
+        let token = self.order_token(agent);
         let Some(worker) = self.workers.get(agent) else {
             return;
         };
@@ -296,7 +308,7 @@
             return;
         };
         let grant = Grant {
-            token: self.token,
+            token,
             upstream,
             deadline_ms: None,
             acknowledged: worker.acknowledged(),
@@ -386,8 +398,12 @@
 
     /// Orders the start of a run, unless it was released in the meantime.
     fn order_start(&mut self, now: Now, id: TaskId) {
-        let token = self.token;
         let settled_at = self.settling_time(now.monotonic);
+        let job = self.jobs.get(&id.job);
+        let Some(run) = job.and_then(|j| j.runs.get(&id)) else {
+            return;
+        };
+        let token = self.order_token(&run.agent);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
--- a/crates/coordination/src/scheduler/endings.rs
+++ b/crates/coordination/src/scheduler/endings.rs
@@ -187,7 +187,7 @@
     /// Sends the stops that were requested, and repeats those whose runs still
     /// exist after [`STOP_RETRY_INTERVAL`].
     pub(super) fn send_stops(&mut self, now: Now) {
-        let mut messages = Vec::new();
+        let mut stops = Vec::new();
         for job in self.jobs.values_mut() {
             for (task, run) in &mut job.runs {
                 let Some(sent) = run.stopping else {
@@ -200,16 +200,18 @@
                 // Zero would mean that no stop was sent yet.
                 run.stopping =
                     Some(now.monotonic.max(Duration::from_nanos(1)));
-                let message = ToAgent::Stop {
-                    upstream: run.upstream.clone(),
-                    token: self.token,
-                    task: *task,
-                    run: run.number,
-                };
-                messages.push((run.agent.clone(), message));
+                let upstream = run.upstream.clone();
+                let stop = (run.agent.clone(), upstream, *task, run.number);
+                stops.push(stop);
             }
         }
-        for (agent, message) in messages {
+        for (agent, upstream, task, run) in stops {
+            let message = ToAgent::Stop {
+                upstream,
+                token: self.order_token(&agent),
+                task,
+                run,
+            };
             self.send(&agent, message);
         }
     }
--- /dev/null
+++ b/crates/coordination/src/scheduler/fences.rs
@@ -0,0 +1,47 @@
+//! The fencing tokens of orders to upstreams, one for each incarnation.
+
+use super::{Scheduler, worker::Fence};
+
+impl Scheduler {
+    /// Returns the fencing token of orders to an agent's upstream.
+    pub(super) fn order_token(&self, agent: &str) -> u64 {
+        let worker = self.workers.get(agent);
+        match worker.map(|w| w.fence).unwrap_or_default() {
+            Fence::Term => self.token,
+            Fence::Revision(token) | Fence::Above(token) => token,
+        }
+    }
+
+    /// Returns whether an upstream has a token that its earlier incarnations
+    /// have not seen.
+    pub(super) fn is_fenced(&self, agent: &str) -> bool {
+        let worker = self.workers.get(agent);
+        worker.is_none_or(|w| !matches!(w.fence, Fence::Above(_)))
+    }
+
+    /// Returns whether an upstream waits for a token, which only a commit can
+    /// give.
+    pub(super) fn awaits_fence(&self) -> bool {
+        self.workers
+            .values()
+            .any(|w| matches!(w.fence, Fence::Above(_)))
+    }
+
+    /// Gives a token to each upstream that waits for one that is lower than the
+    /// revision of the latest commit, and tells its agent.
+    pub(super) fn assign_fences(&mut self) {
+        let revision = self.commit_state.revision();
+        let mut fenced = Vec::new();
+        for (agent, worker) in &mut self.workers {
+            if let Fence::Above(token) = worker.fence
+                && token < revision
+            {
+                worker.fence = Fence::Revision(revision);
+                fenced.push(agent.clone());
+            }
+        }
+        for agent in fenced {
+            self.agent_connected(&agent);
+        }
+    }
+}
--- a/crates/coordination/src/scheduler/incarnations.rs
+++ b/crates/coordination/src/scheduler/incarnations.rs
@@ -21,6 +21,7 @@
         agent: &str,
         upstream: &UpstreamState,
     ) -> bool {
+        let token = self.order_token(agent);
         let worker = self.workers.entry(agent.to_owned()).or_default();
         let known = worker.incarnation().cloned();
         // The start of a later incarnation is the earlier time if the wall
@@ -34,7 +35,7 @@
             return false;
         }
         if newer {
-            worker.forget_incarnation();
+            worker.replace_incarnation(&upstream.incarnation, token);
         }
         // The sequence numbers of another writer's claims, which the agent has
         // corrected, say nothing.
@@ -59,16 +60,19 @@
                 agent,
                 &upstream.incarnation,
             );
+            self.assign_fences();
         }
         true
     }
 
     fn record_worker_up(&mut self, agent: &str, upstream: &UpstreamState) {
+        let fence = self.workers.get(agent).map(|w| w.fence);
         let detail = format!(
-            "agent={agent} upstream={} born={} rack={}",
+            "agent={agent} upstream={} born={} rack={} fence={:?}",
             upstream.incarnation.id,
             upstream.incarnation.born_ms,
-            upstream.rack
+            upstream.rack,
+            fence.unwrap_or_default()
         );
         let event = NewEvent::new(Code::WorkerUp, detail);
         self.actions.push(Action::RecordEvent(event));
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -46,9 +46,13 @@
     let Some(snapshot) = report.snapshot else {
         return;
     };
-    if report.token != scheduler.token {
-        // The agent does not know this coordinator's token: the message with
-        // it was lost.
+    if !scheduler.is_fenced(agent) {
+        // A call for an earlier incarnation could still change what the
+        // snapshot shows.
+        return;
+    }
+    if report.token != scheduler.order_token(agent) {
+        // The agent does not know the token: the message with it was lost.
         scheduler.agent_connected(agent);
         return;
     }
@@ -132,9 +136,15 @@
         incarnation: &Incarnation,
         snapshot: &Snapshot,
     ) {
+        // Until its first snapshot, the upstream may have taken a lease from a
+        // call that was meant for an earlier incarnation.
+        let earlier_lease_expiry = self.lease_expiry(now.monotonic);
         let Some(worker) = self.workers.get_mut(agent) else {
             return;
         };
+        if worker.clock.is_none() {
+            worker.expires_at = worker.expires_at.max(earlier_lease_expiry);
+        }
         let known_clock_ms = worker.clock.map_or(0, |(clock, _)| clock);
         if snapshot.clock_ms < known_clock_ms {
             // A later snapshot has overtaken this one.
@@ -429,7 +439,7 @@
             self.record_event(Code::PartStopped, task.job, &detail);
             let message = ToAgent::Stop {
                 upstream: upstream.clone(),
-                token: self.token,
+                token: self.order_token(agent),
                 task,
                 run,
             };
@@ -443,14 +453,14 @@
         let expires_at = self.grant_expiry(now.monotonic);
         let duration_ms =
             u64::try_from(self.grant_duration().as_millis()).unwrap_or(0);
-        let token = self.token;
+        let token = self.order_token(agent);
         let Some(worker) = self.workers.get_mut(agent) else {
             return;
         };
         let Some(upstream) = worker.incarnation().cloned() else {
             return;
         };
-        worker.expires_at = expires_at;
+        worker.expires_at = worker.expires_at.max(expires_at);
         let grant = Grant {
             token,
             upstream,
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -42,12 +42,35 @@
     Stuck,
 }
 
+/// The fencing token of the orders to a worker's upstream.
+///
+/// An upstream that is back under its old id executes calls that were meant
+/// for its former incarnation, and has seen no token. So each incarnation
+/// gets orders with a token of its own, higher than those of all calls to the
+/// earlier ones: once it has answered with that token, it refuses them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum Fence {
+    /// The token of the coordinator: no other incarnation was given any order
+    /// in this term.
+    #[default]
+    Term,
+    /// A revision of the store in this term, which is higher than the token of
+    /// the coordinator and lower than that of the next one.
+    Revision(u64),
+    /// None yet: it has to be higher than this one.
+    Above(u64),
+}
+
 /// A worker and what is placed on it.
 #[derive(Debug, Default)]
 pub(super) struct Worker {
     /// The upstream as last reported; `None` until its agent reports one, and
     /// after it has ended.
     pub(super) upstream: Option<UpstreamState>,
+    /// The last upstream that was reported in this term, also if it has ended.
+    last_incarnation: Option<Incarnation>,
+    /// The fencing token of orders to the upstream.
+    pub(super) fence: Fence,
     /// The upstream's clock in the latest snapshot, in milliseconds, and the
     /// time at which that snapshot arrived.
     pub(super) clock: Option<(u64, Duration)>,
@@ -82,6 +105,20 @@
         self.upstream.as_ref().map(|u| &u.incarnation)
     }
 
+    /// Records another incarnation of the upstream, and that its orders need a
+    /// fencing token above `token`, that of the last one, if there was any.
+    pub(super) fn replace_incarnation(
+        &mut self,
+        incarnation: &Incarnation,
+        token: u64,
+    ) {
+        self.forget_incarnation();
+        let last = self.last_incarnation.replace(incarnation.clone());
+        if last.is_some_and(|last| last != *incarnation) {
+            self.fence = Fence::Above(token);
+        }
+    }
+
     /// Returns whether a snapshot arrived within [`REACHABLE_TIMEOUT`].
     pub(super) fn is_reachable(&self, now: Duration) -> bool {
         self.clock
@@ -129,7 +166,7 @@
     /// Forgets what belongs to an incarnation that another one replaces:
     /// everything that was ordered on it ended with it, and its clock and its
     /// sequence numbers no longer apply.
-    pub(super) fn forget_incarnation(&mut self) {
+    fn forget_incarnation(&mut self) {
         self.clock = None;
         self.last_end_number = 0;
         self.ends_incomplete = false;
--- a/crates/coordination/tests/ended_incarnations.rs
+++ b/crates/coordination/tests/ended_incarnations.rs
@@ -37,6 +37,8 @@
 struct Fixture {
     scheduler: Scheduler,
     now: Now,
+    /// The revision of the store.
+    revision: u64,
     /// The orders that the coordinator has sent.
     sent: Vec<ToAgent>,
 }
@@ -94,6 +96,7 @@
         let mut fixture = Self {
             scheduler: Scheduler::new(TOKEN, now, Limits::default()),
             now,
+            revision: TOKEN,
             sent: Vec::new(),
         };
         fixture.report_snapshot(upstream, 1000);
@@ -109,33 +112,55 @@
             self.now.monotonic += TICK;
             self.scheduler.tick(self.now);
             if let Some(commit) = self.scheduler.take_commit(self.now) {
-                self.scheduler.commit_done(self.now, commit.number, 1);
+                self.revision += 1;
+                let (number, revision) = (commit.number, self.revision);
+                self.scheduler.commit_done(self.now, number, revision);
             }
-            for action in self.scheduler.take_actions() {
-                if let Action::Send { message, .. } = action {
-                    self.sent.push(message);
-                }
+            self.collect_messages();
+        }
+    }
+
+    fn collect_messages(&mut self) {
+        for action in self.scheduler.take_actions() {
+            if let Action::Send { message, .. } = action {
+                self.sent.push(message);
             }
         }
     }
 
+    /// Returns the highest fencing token that the agent was sent.
+    fn token(&self) -> u64 {
+        let tokens = self.sent.iter().map(|m| match m {
+            ToAgent::Grant(grant) => grant.token,
+            ToAgent::Start { start, .. } => start.token,
+            ToAgent::Stop { token, .. } => *token,
+        });
+        tokens.max().unwrap_or(TOKEN)
+    }
+
     fn report(&mut self, report: Report) {
         self.scheduler.handle_report(self.now, AGENT, report);
     }
 
     /// Reports that `upstream` runs nothing at the time `clock_ms` of its
-    /// clock.
+    /// clock. The agent repeats the report if it gets a higher fencing token.
     fn report_snapshot(&mut self, upstream: &UpstreamState, clock_ms: u64) {
-        self.report(Report {
-            token: TOKEN,
-            upstream: Some(upstream.clone()),
-            snapshot: Some(Snapshot {
-                born_ms: upstream.incarnation.born_ms,
-                clock_ms,
-                ..Snapshot::default()
-            }),
-            ..Report::default()
-        });
+        let mut reported_token = None;
+        while reported_token != Some(self.token()) {
+            let token = self.token();
+            self.report(Report {
+                token,
+                upstream: Some(upstream.clone()),
+                snapshot: Some(Snapshot {
+                    born_ms: upstream.incarnation.born_ms,
+                    clock_ms,
+                    ..Snapshot::default()
+                }),
+                ..Report::default()
+            });
+            self.collect_messages();
+            reported_token = Some(token);
+        }
     }
 
     fn report_end(&mut self, upstream: &UpstreamState) {
--- a/crates/coordination/tests/fleet/random_faults.rs
+++ b/crates/coordination/tests/fleet/random_faults.rs
@@ -15,7 +15,7 @@
             lost_answers: 100,
             late_starts: 60,
             lost_reports: 50,
-            late_holds: 0,
+            late_holds: 30,
         };
         for id in 0..30 {
             let priority = u32::try_from(sim.random(3)).unwrap_or(0);
@@ -49,7 +49,7 @@
 /// nothing.
 fn inject_fault(sim: &mut Sim) {
     let agent = format!("agent-{:02}", sim.random(5));
-    match sim.random(16) {
+    match sim.random(18) {
         0 | 1 => sim.take_over(),
         2 => {
             let now = sim.now_ms;
@@ -65,6 +65,14 @@
             let id = BatchId(100 + sim.random(30));
             sim.cancel(id);
         }
+        7 | 8 => {
+            // The upstream restarts and is cut off soon after.
+            let now = sim.now_ms;
+            sim.pool.restart_upstream(now, &agent);
+            let uptime_ms = sim.random(1500);
+            sim.run(uptime_ms);
+            sim.set_reachable(&agent, false);
+        }
         _ => {}
     }
 }
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -107,6 +107,7 @@
                     grant: Grant::default(),
                     registered: None,
                     next_renewal_ms: 0,
+                    acknowledged: 0,
                 },
             );
         }
--- a/crates/coordination/tests/fleet/sim/agents.rs
+++ b/crates/coordination/tests/fleet/sim/agents.rs
@@ -10,7 +10,7 @@
     Hold, Refusal, Snapshot, StartOrder, StartOutcome, UpstreamState,
 };
 
-use super::messages::Message;
+use super::messages::{Lateness, Message};
 use super::{STEP_MS, Sim};
 
 /// The interval at which an agent renews its upstream's lease by
@@ -22,6 +22,8 @@
     /// The incarnation of its upstream that the agent knows.
     pub(super) registered: Option<Incarnation>,
     pub(super) next_renewal_ms: u64,
+    /// The acknowledgement that it has passed on last.
+    pub(super) acknowledged: u64,
 }
 
 impl Sim {
@@ -43,6 +45,7 @@
             } if upstream == present.incarnation
                 && self.is_registered(name, &upstream) =>
             {
+                self.learn_token(name, token);
                 self.pool.stop(self.now_ms, name, task, run, token);
                 let clock_ms = self.now_ms - upstream.born_ms;
                 let result = StopResult {
@@ -61,6 +64,19 @@
         }
     }
 
+    /// Records the fencing token of an order, which an agent has before it
+    /// calls its upstream. The grants of earlier coordinators end with it.
+    fn learn_token(&mut self, name: &str, token: u64) {
+        if let Some(agent) = self.agents.get_mut(name)
+            && token > agent.grant.token
+        {
+            agent.grant = Grant {
+                token,
+                ..Grant::default()
+            };
+        }
+    }
+
     fn is_registered(&self, name: &str, incarnation: &Incarnation) -> bool {
         let agent = self.agents.get(name);
         agent.is_some_and(|a| a.registered.as_ref() == Some(incarnation))
@@ -113,6 +129,7 @@
         target: &Incarnation,
         start: &StartOrder,
     ) -> StartOutcome {
+        self.learn_token(name, start.token);
         match self.incarnation_called(name, target) {
             Some(called) => self.pool.start(self.now_ms, name, &called, start),
             None => StartOutcome::Refused(Refusal::OtherIncarnation),
@@ -136,6 +153,18 @@
         )
     }
 
+    /// Returns whether an agent's upstream may execute a late call.
+    pub(super) fn executes_late_calls(
+        &self,
+        name: &str,
+        lateness: Lateness,
+    ) -> bool {
+        let node = self.pool.nodes.get(name);
+        let present = node.map(|n| &n.upstream.incarnation);
+        let granted = self.agents.get(name).map(|a| &a.grant.upstream);
+        !lateness.needs_known_incarnation() || present == granted
+    }
+
     /// Returns the incarnation that executes a call to `target`.
     fn incarnation_called(
         &self,
@@ -209,9 +238,13 @@
         let incarnation = &upstream.incarnation;
         let registered = agent.registered.replace(incarnation.clone());
         let is_current = grant.upstream == *incarnation;
+        let last_acknowledged =
+            std::mem::replace(&mut agent.acknowledged, grant.acknowledged);
+        let acknowledges =
+            is_current && grant.acknowledged != last_acknowledged;
         let hold = Hold {
             token: grant.token,
-            acknowledged: if is_current { grant.acknowledged } else { 0 },
+            acknowledged: if acknowledges { grant.acknowledged } else { 0 },
             deadline_ms: grant.deadline_ms.filter(|_| is_current),
             ..Hold::default()
         };
@@ -227,7 +260,12 @@
         }
         if let Some(late_ms) = self.lateness_of_hold(name) {
             let target = incarnation.clone();
-            let message = Message::LateHold(name.to_owned(), target, hold);
+            let message = Message::LateHold(
+                name.to_owned(),
+                target,
+                hold,
+                Lateness(late_ms),
+            );
             self.send(late_ms, message);
             return;
         }
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -12,6 +12,22 @@
 /// attempts to start a run.
 const START_TIMEOUTS_MS: [u64; 3] = [200, 400, 600];
 
+/// How late a call is executed, in milliseconds.
+#[derive(Clone, Copy)]
+pub(super) struct Lateness(pub(super) u64);
+
+impl Lateness {
+    /// The time within which a call may be executed by any incarnation with the
+    /// id that it names, in milliseconds. Later, only an incarnation that a
+    /// coordinator has worked with executes it: no scheduler can wait for all
+    /// calls that others may have received seconds ago.
+    const MAX_UNSEEN_MS: u64 = 2500;
+
+    pub(super) const fn needs_known_incarnation(self) -> bool {
+        self.0 > Self::MAX_UNSEEN_MS
+    }
+}
+
 /// A message or an answer in flight.
 pub(super) enum Message {
     /// From the coordinator to the named agent.
@@ -21,10 +37,10 @@
     Start(String, Incarnation, StartOrder, usize),
     /// A call of the named agent to start a run that is executed late; nobody
     /// waits for its answer.
-    LateStart(String, Incarnation, StartOrder),
+    LateStart(String, Incarnation, StartOrder, Lateness),
     /// A call of the named agent to renew a lease that is executed late; nobody
     /// waits for its answer.
-    LateHold(String, Incarnation, Hold),
+    LateHold(String, Incarnation, Hold, Lateness),
     /// From the named agent to the coordinator.
     Report(String, Box<Report>),
     /// The store's answer to the commit of this number: its revision.
@@ -82,7 +98,12 @@
             };
             self.send(
                 delay_ms + late_ms,
-                Message::LateStart(agent, upstream, start.clone()),
+                Message::LateStart(
+                    agent,
+                    upstream,
+                    start.clone(),
+                    Lateness(late_ms),
+                ),
             );
             delay_ms += timeout_ms;
         }
@@ -153,10 +174,14 @@
             Message::Start(agent, upstream, start, unanswered) => {
                 self.start_at_agent(&agent, &upstream, &start, unanswered);
             }
-            Message::LateStart(agent, upstream, start) => {
+            Message::LateStart(agent, upstream, start, lateness)
+                if self.executes_late_calls(&agent, lateness) =>
+            {
                 self.execute_start(&agent, &upstream, &start);
             }
-            Message::LateHold(agent, upstream, hold) => {
+            Message::LateHold(agent, upstream, hold, lateness)
+                if self.executes_late_calls(&agent, lateness) =>
+            {
                 self.execute_hold(&agent, &upstream, hold);
             }
             _ => {}
