Do not start a task while an upstream lists a run of it that was given up

Cause: a run that is listed without a placement is stopped, and its capacity stays taken until it has gone, but its task could be placed meanwhile. Such a run comes from a start that was given up and begun by the next incarnation.

Fix: such tasks wait, and starts that are committed already are withheld, until a list lacks the run, its incarnation has ended or its lease has expired. The runs without a placement have a module of their own.

The model's agent no longer lets the report of a crash overtake earlier reports.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -35,6 +35,7 @@
 mod incarnations;
 mod job;
 pub mod message;
+mod orphans;
 mod place;
 mod plan;
 mod reclaim;
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -365,16 +365,12 @@
             })
             .map(|(task, _)| *task)
             .collect();
-        let unreachable: Vec<TaskId> = due
+        let withheld: Vec<(TaskId, &str)> = due
             .iter()
-            .copied()
-            .filter(|task| !self.can_start(now, *task))
+            .filter_map(|task| Some((*task, self.obstacle(now, *task)?)))
             .collect();
-        for task in unreachable {
-            self.release(
-                task,
-                "its worker is unreachable, draining or replaced",
-            );
+        for (task, why) in withheld {
+            self.release(task, why);
             self.request_gang_stop(task, "a gang member cannot be started");
         }
         for task in due {
@@ -382,6 +378,15 @@
         }
     }
 
+    /// Returns why the start of a task cannot be ordered; `None` if it can.
+    fn obstacle(&self, now: Now, id: TaskId) -> Option<&'static str> {
+        if !self.can_start(now, id) {
+            return Some("its worker is unreachable, draining or replaced");
+        }
+        let has_orphan = self.has_orphan(now, id);
+        has_orphan.then_some("an upstream still lists an earlier run")
+    }
+
     /// Returns whether a start can be ordered: the worker is reachable, is not
     /// draining, and still has the incarnation that the run was placed on.
     fn can_start(&self, now: Now, id: TaskId) -> bool {
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -155,6 +155,7 @@
                 add_groups(job, occurrence, cx, &mut groups);
             }
         }
+        self.withhold_orphaned(now, &mut groups);
         groups
     }
 
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -407,46 +407,6 @@
         }
     }
 
-    /// Stops runs without a placement. They count against the resources of
-    /// the worker until a snapshot no longer lists them.
-    fn stop_orphans(&mut self, agent: &str, snapshot: &Snapshot) {
-        let mut orphans = Vec::new();
-        for running in &snapshot.running {
-            let job = self.jobs.get(&running.task.job);
-            let run = job.and_then(|j| j.runs.get(&running.task));
-            let has_placement = run
-                .is_some_and(|r| r.agent == agent && r.number == running.run);
-            if has_placement {
-                continue;
-            }
-            let step = job.and_then(|j| j.batch.step(running.task));
-            let needs = step.map(|s| s.needs);
-            orphans.push((running.task, running.run, needs));
-        }
-        let Some(worker) = self.workers.get_mut(agent) else {
-            return;
-        };
-        worker.orphans.clone_from(&orphans);
-        let Some(upstream) = worker.incarnation().cloned() else {
-            return;
-        };
-        for (task, run, _) in orphans {
-            let detail = format!(
-                "task={task} run={run} agent={agent} upstream={} born={} \
-                 clock_ms={} why=no placement",
-                upstream.id, upstream.born_ms, snapshot.clock_ms
-            );
-            self.record_event(Code::PartStopped, task.job, &detail);
-            let message = ToAgent::Stop {
-                upstream: upstream.clone(),
-                token: self.order_token(agent),
-                task,
-                run,
-            };
-            self.send(agent, message);
-        }
-    }
-
     /// Extends the deadline of the runs on a worker to the duration of a grant
     /// after `clock_ms`, the upstream's clock in the snapshot.
     fn send_grant(&mut self, now: Now, agent: &str, clock_ms: u64) {
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -159,6 +159,7 @@
         if was_known {
             self.upstream = None;
             self.clock = None;
+            self.orphans.clear();
         }
         was_known
     }
--- a/crates/coordination/tests/fleet/former_incarnations.rs
+++ b/crates/coordination/tests/fleet/former_incarnations.rs
@@ -167,3 +167,26 @@
         assert_eq!(states, [BatchState::Done; 2], "{case}");
     }
 }
+
+// Guards against a task that starts a second time on a worker whose list shows
+// an earlier run of it, which was given up and begun by the next incarnation.
+#[test]
+fn a_task_does_not_start_while_a_run_that_was_given_up_is_listed() {
+    for take_over_after_ms in (0..400).step_by(50) {
+        for late_ms in (300..1500).step_by(50) {
+            let mut sim = Sim::new(1, 1);
+            sim.run(500);
+            sim.held_up_starts_ms = vec![late_ms; 3];
+            sim.submit(job(1, 1, 1, 2, 2000));
+            assert!(sim.run_until(500, |s| !s.start_orders.is_empty()));
+            sim.run(take_over_after_ms);
+            sim.take_over();
+            sim.run(100);
+            let now = sim.now_ms;
+            sim.pool.restart_upstream(now, "agent-00");
+            let case = format!("{take_over_after_ms} ms, {late_ms} ms late");
+            assert!(sim.run_until(20_000, Sim::all_ended), "{case}");
+            assert_no_violations(&sim, &case);
+        }
+    }
+}
--- a/crates/coordination/tests/fleet/sim/agents.rs
+++ b/crates/coordination/tests/fleet/sim/agents.rs
@@ -176,7 +176,7 @@
         (present.id == target.id).then(|| present.clone())
     }
 
-    fn send_report(&mut self, name: &str, report: Report) {
+    pub(super) fn send_report(&mut self, name: &str, report: Report) {
         let message = Message::Report(name.to_owned(), Box::new(report));
         self.send(STEP_MS, message);
     }
--- a/crates/coordination/tests/fleet/sim/incidents.rs
+++ b/crates/coordination/tests/fleet/sim/incidents.rs
@@ -110,7 +110,7 @@
     }
 
     /// Crashes an upstream. Its agent reports at once that the incarnation has
-    /// ended.
+    /// ended. Like all its reports, this one overtakes no earlier one.
     pub fn crash(&mut self, agent: &str) {
         let node =
             self.pool.nodes.remove(agent).expect("the agent has a node");
@@ -118,9 +118,7 @@
             ended_incarnation: Some(node.upstream.incarnation),
             ..Report::default()
         };
-        let now = self.now();
-        self.scheduler.handle_report(now, agent, report);
-        self.send_actions();
+        self.send_report(agent, report);
     }
 
     /// Makes an upstream drain and report that it leaves in `remaining_ms`
