Stand-in: calls held up until a later life of an upstream, and silent ends

Workers::delay_calls holds up a share of the starts, stops and holds to an upstream. They get no answer and are carried out later, by whichever incarnation of the same id is there then. Workers::restart_silently ends an upstream without closing or refusing connections. Both are off by default.

--- a/crates/standin/src/platform/workers.rs
+++ b/crates/standin/src/platform/workers.rs
@@ -22,6 +22,11 @@
 use crate::{address::free_address, web::HttpServer};
 
 mod calls;
+mod delays;
+mod silence;
+
+use delays::Delays;
+pub use delays::{Delay, Share};
 
 /// The interval at which the model's clock advances.
 const STEP_INTERVAL: Duration = Duration::from_millis(10);
@@ -45,6 +50,7 @@
     pool: Mutex<Pool>,
     drains: Mutex<Vec<AcknowledgedDrain>>,
     processes: Mutex<BTreeMap<String, Process>>,
+    delays: Mutex<Delays>,
     start: Instant,
     /// The Unix time at `start`, in milliseconds.
     start_unix_ms: u64,
@@ -57,6 +63,8 @@
     /// Serves its calls, unless it has ended.
     server: Option<HttpServer>,
     heartbeats_paused: bool,
+    /// Whether it runs, and has not ended.
+    runs: bool,
 }
 
 /// How an upstream that starts again differs from its previous incarnation,
@@ -89,6 +97,7 @@
                 pool: Mutex::default(),
                 drains: Mutex::default(),
                 processes: Mutex::default(),
+                delays: Mutex::default(),
                 start: Instant::now(),
                 start_unix_ms: u64::try_from(unix_ms).unwrap_or(u64::MAX),
             }),
@@ -100,6 +109,7 @@
                 thread::sleep(STEP_INTERVAL);
                 let now = advancing.now_ms();
                 advancing.pool().advance(now, now - last);
+                advancing.carry_out_due();
                 last = now;
             }
         })?;
@@ -174,6 +184,7 @@
             agent,
             server: Some(server),
             heartbeats_paused: false,
+            runs: true,
         };
         self.processes().insert(name.to_owned(), process);
         let (sending, name) = (self.clone(), name.to_owned());
@@ -270,9 +281,11 @@
         if let Some(node) = pool.nodes.get_mut(name) {
             node.reachable = false;
         }
+        let server = self.processes().get_mut(name).and_then(|p| {
+            p.runs = false;
+            p.server.take()
+        });
         drop(pool);
-        let server =
-            self.processes().get_mut(name).and_then(|p| p.server.take());
         if let Some(server) = server {
             server.stop();
         }
@@ -315,9 +328,9 @@
         let listen = same.filter(|_| !successor.new_address);
         let server = self.serve(name, listen.unwrap_or(other))?;
         upstream.address = server.address.to_string();
-        drop(pool);
         if let Some(process) = self.processes().get_mut(name) {
             process.server = Some(server);
+            process.runs = true;
         }
         Ok(())
     }
--- a/crates/standin/src/platform/workers/calls.rs
+++ b/crates/standin/src/platform/workers/calls.rs
@@ -9,7 +9,7 @@
 use figrill_example::pool::Pool;
 use figrill_state::{
     batch::{Incarnation, TaskId},
-    runner::{Refusal, Snapshot, StartOrder, StartOutcome},
+    runner::{Hold, Refusal, Snapshot, StartOrder, StartOutcome},
 };
 use serde_json::{Value, json};
 
@@ -28,9 +28,11 @@
     pub(super) fn answer(&self, name: &str, call: &Call) -> Reply {
         let body: Value =
             serde_json::from_slice(&call.body).unwrap_or_default();
+        if self.hold_up(name, call, &body) {
+            return no_answer();
+        }
         let Some(called) = self.reachable_incarnation(name) else {
-            thread::sleep(UNREACHABLE_DELAY);
-            return Reply::status(500);
+            return no_answer();
         };
         let expected = call.expected_instance.as_ref();
         if expected.is_some_and(|id| *id != called.id) {
@@ -63,6 +65,15 @@
         (present == Some(called)).then_some((pool, now))
     }
 
+    /// Returns the reply to a call whose incarnation has ended meanwhile.
+    fn reply_after_end(&self, name: &str) -> Reply {
+        let runs = self.processes().get(name).is_some_and(|p| p.runs);
+        if runs {
+            return Reply::status(500);
+        }
+        no_answer()
+    }
+
     fn start_run(
         &self,
         name: &str,
@@ -73,7 +84,7 @@
             return Reply::status(400);
         };
         let Some((mut pool, now)) = self.pool_of(name, called) else {
-            return Reply::status(500);
+            return self.reply_after_end(name);
         };
         let clock_ms = now.saturating_sub(called.born_ms);
         let reason = match pool.start(now, name, called, &start) {
@@ -97,14 +108,11 @@
         called: &Incarnation,
         body: &Value,
     ) -> Reply {
-        let task = body["task"].as_str().and_then(TaskId::parse);
-        let run = body["run"].as_u64().and_then(|r| u32::try_from(r).ok());
-        let (Some(task), Some(run)) = (task, run) else {
+        let Some((task, run, token)) = parse_stop_order(body) else {
             return Reply::status(400);
         };
-        let token = body["fencing_token"].as_u64().unwrap_or(0);
         let Some((mut pool, now)) = self.pool_of(name, called) else {
-            return Reply::status(500);
+            return self.reply_after_end(name);
         };
         pool.stop(now, name, task, run, token);
         let clock_ms = now.saturating_sub(called.born_ms);
@@ -112,25 +120,24 @@
     }
 
     fn hold(&self, name: &str, called: &Incarnation, body: &Value) -> Reply {
-        let number = |key: &str| body[key].as_u64();
-        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let hold = parse_hold_order(body);
         let start = Instant::now();
         loop {
             let Some((mut pool, now)) = self.pool_of(name, called) else {
-                return Reply::status(500);
+                return self.reply_after_end(name);
             };
             let snapshot = pool.hold(
                 now,
                 name,
-                number("fencing_token").unwrap_or(0),
-                number("ack_cursor").unwrap_or(0),
-                number("deadline_ms"),
+                hold.token,
+                hold.acknowledged,
+                hold.deadline_ms,
             );
             drop(pool);
             let Some(snapshot) = snapshot else {
                 return json_reply(409, &json!({"reason": "fence"}));
             };
-            if !snapshot.ended.is_empty() || start.elapsed() >= wait {
+            if !snapshot.ended.is_empty() || start.elapsed() >= hold.wait {
                 return json_reply(200, &snapshot_json(&snapshot));
             }
             thread::sleep(HOLD_POLL_INTERVAL);
@@ -138,13 +145,19 @@
     }
 }
 
+/// Leaves a call unanswered until its caller has given up.
+fn no_answer() -> Reply {
+    thread::sleep(UNREACHABLE_DELAY);
+    Reply::status(500)
+}
+
 fn json_reply(status: u16, body: &Value) -> Reply {
     let mut reply = Reply::body(body.to_string().into_bytes());
     reply.status = status;
     reply
 }
 
-fn parse_start_order(body: &Value) -> Option<StartOrder> {
+pub(super) fn parse_start_order(body: &Value) -> Option<StartOrder> {
     Some(StartOrder {
         task: TaskId::parse(body["task"].as_str()?)?,
         run: u32::try_from(body["run"].as_u64()?).ok()?,
@@ -158,6 +171,23 @@
     })
 }
 
+/// Returns the task, the run and the fencing token of a stop.
+pub(super) fn parse_stop_order(body: &Value) -> Option<(TaskId, u32, u64)> {
+    let task = TaskId::parse(body["task"].as_str()?)?;
+    let run = u32::try_from(body["run"].as_u64()?).ok()?;
+    Some((task, run, body["fencing_token"].as_u64().unwrap_or(0)))
+}
+
+pub(super) fn parse_hold_order(body: &Value) -> Hold {
+    let number = |key: &str| body[key].as_u64();
+    Hold {
+        token: number("fencing_token").unwrap_or(0),
+        acknowledged: number("ack_cursor").unwrap_or(0),
+        deadline_ms: number("deadline_ms"),
+        wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
+    }
+}
+
 fn snapshot_json(snapshot: &Snapshot) -> Value {
     let running = snapshot.running.iter().map(|r| {
         json!([r.task.to_string(), r.run, r.checkpoint, r.percent, 0])
