--- a/crates/example/src/pool.rs
+++ b/crates/example/src/pool.rs
@@ -179,6 +179,9 @@
             return StartOutcome::Refused(Refusal::Fenced);
         }
         node.fencing_token = start.token;
+        // Also a start that is refused below extends the lease.
+        let lease = start.deadline_ms.min(clock_ms + MAX_LEASE_MS);
+        node.lease_end_ms = node.lease_end_ms.max(lease);
         if node
             .runs
             .get(&start.task)
@@ -203,8 +206,6 @@
             ));
             return StartOutcome::Refused(Refusal::NoCapacity);
         }
-        let lease = start.deadline_ms.min(clock_ms + MAX_LEASE_MS);
-        node.lease_end_ms = node.lease_end_ms.max(lease);
         let run = Run {
             number: start.run,
             spec,
