--- a/crates/coordination/tests/fleet/former_incarnations.rs
+++ b/crates/coordination/tests/fleet/former_incarnations.rs
@@ -190,3 +190,22 @@
         }
     }
 }
+
+// Guards against a done task that begins again, because a call to start it was
+// held up until the next incarnation, before anybody had called that one.
+#[test]
+fn a_start_that_is_held_up_does_not_begin_a_done_task_on_an_unseen_incarnation()
+ {
+    let mut sim = Sim::new(2, 1);
+    sim.run(LONG_UPTIME_MS);
+    sim.held_up_starts_ms = vec![1000];
+    sim.submit(job(1, 1, 1, 8, 300));
+    assert!(sim.run_until(1000, Sim::all_ended));
+    sim.run(200);
+    let agent = sim.agent_of_last_start();
+    let now = sim.now_ms;
+    sim.pool.restart_upstream(now, &agent);
+    sim.set_reachable(&agent, false);
+    sim.run(2000);
+    assert_no_violations(&sim, "held up until after the end");
+}
