Settle adopted runs once their upstream has listed them

Seen in the model: after a change of the coordinator, the task of an upstream that crashed waited for up to 13.3 s, because the new coordinator does not know which calls of the earlier one were answered.

Cause: 'Keep a run whose start may still reach the next incarnation' counts from the take-over and knows no other end for such a run.

Fix: a run that its upstream lists 1.5 s after the take-over is settled: calls for it have ended by then, and until then no other incarnation was there to execute one. The same 1.5 s, for which agents make calls at most, replace the 2.5 s after the order of any start, so that a task waits for 12.3 s at most (maximum lease of 10 s) instead of 13.3 s.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -61,13 +61,9 @@
 const EXPIRY_MARGIN: Duration = Duration::from_millis(400);
 
 /// How long an upstream may still begin a run after its start was ordered.
+/// Agents make calls to start it for less than this.
 const START_WINDOW: Duration = Duration::from_millis(1500);
 
-/// How long after its order a call to start a run may reach an incarnation of
-/// the upstream that nobody hears of. Agents make such calls for less than
-/// [`START_WINDOW`].
-const MAX_START_DELAY: Duration = Duration::from_millis(2500);
-
 /// The maximum time between two checks of all runs, and between two planning
 /// passes. Most inputs change nothing that concerns either, and there are
 /// hundreds of them a second.
@@ -197,6 +193,7 @@
                 },
                 placed_at: now.monotonic,
                 ordered_at: Some(now.monotonic),
+                is_adopted: true,
                 is_answered: false,
                 settled_at: self.settling_time(now.monotonic),
                 stopping: None,
@@ -349,7 +346,7 @@
     /// Returns the [`Run::settled_at`] of a run whose start was ordered at
     /// `ordered_at`.
     fn settling_time(&self, ordered_at: Duration) -> Duration {
-        self.lease_expiry(ordered_at + MAX_START_DELAY)
+        self.lease_expiry(ordered_at + START_WINDOW)
     }
 
     fn send(&mut self, agent: &str, message: ToAgent) {
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -8,6 +8,8 @@
     TaskProgress,
 };
 
+use super::START_WINDOW;
+
 /// The phase of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Phase {
@@ -66,6 +68,8 @@
     pub(super) placed_at: Duration,
     /// When its start was ordered; `None` before that.
     pub(super) ordered_at: Option<Duration>,
+    /// Whether an earlier coordinator has ordered its start.
+    pub(super) is_adopted: bool,
     /// Whether its agent has made all calls to start it, and every one of them
     /// was answered.
     pub(super) is_answered: bool,
@@ -87,6 +91,16 @@
     pub(super) initial_percent: u32,
 }
 
+impl Run {
+    /// Returns whether no call to start the run is on its way any more. The
+    /// answers to calls that an earlier coordinator has ordered are not known.
+    pub(super) fn calls_have_ended(&self, now: Duration) -> bool {
+        let is_past = |at: Duration| now >= at + START_WINDOW;
+        self.is_answered
+            || self.is_adopted && self.ordered_at.is_some_and(is_past)
+    }
+}
+
 /// A job that has not ended, or whose end is not committed yet.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -257,6 +271,7 @@
             phase: Phase::Committing { commit: None },
             placed_at: now,
             ordered_at: None,
+            is_adopted: false,
             is_answered: false,
             settled_at: Duration::ZERO,
             stopping: None,
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -328,7 +328,7 @@
         {
             return;
         }
-        if run.is_answered {
+        if run.calls_have_ended(now.monotonic) {
             run.settled_at = Duration::ZERO;
         }
         if let Phase::Ordered { .. } = run.phase {
--- a/crates/coordination/tests/fleet/lost_workers.rs
+++ b/crates/coordination/tests/fleet/lost_workers.rs
@@ -61,3 +61,20 @@
     );
     assert!(sim.run_until(5000, Sim::all_ended));
 }
+
+// Guards against a task that waits for a lease to expire, because the new
+// coordinator does not know whether the calls to start it were answered.
+#[test]
+fn a_task_of_an_upstream_that_crashes_after_a_take_over_starts_at_once() {
+    let mut sim = Sim::new(2, 1);
+    sim.submit(job(1, 1, 1, 8, 5000));
+    assert!(sim.run_until(1000, |s| count_events(s, "start") == 1));
+    sim.run(300);
+    sim.take_over();
+    sim.run(2000);
+    let agent = sim.agent_of_last_start();
+    sim.crash(&agent);
+    let has_restarted = sim.run_until(500, |s| count_events(s, "start") == 2);
+    assert!(has_restarted, "{:?}", sim.pool.trace);
+    assert!(sim.run_until(8000, Sim::all_ended));
+}
