--- a/crates/standin/src/platform/workers/calls.rs
+++ b/crates/standin/src/platform/workers/calls.rs
@@ -39,12 +39,17 @@
             let clock_ms = self.now_ms().saturating_sub(called.born_ms);
             return json_reply(421, &json!({"clock_ms": clock_ms}));
         }
-        match call.path.as_str() {
+        let reply = match call.path.as_str() {
             "/-/run-start" => self.start_run(name, &called, &body),
             "/-/run-stop" => self.stop_run(name, &called, &body),
             "/-/hold" => self.hold(name, &called, &body),
             _ => Reply::status(404),
+        };
+        if self.reachable_incarnation(name).is_none() {
+            // It was cut off or has ended before it answered.
+            return no_answer();
         }
+        reply
     }
 
     fn reachable_incarnation(&self, name: &str) -> Option<Incarnation> {
@@ -65,15 +70,6 @@
         (present == Some(called)).then_some((pool, now))
     }
 
-    /// Returns the reply to a call whose incarnation has ended meanwhile.
-    fn reply_after_end(&self, name: &str) -> Reply {
-        let runs = self.processes().get(name).is_some_and(|p| p.runs);
-        if runs {
-            return Reply::status(500);
-        }
-        no_answer()
-    }
-
     fn start_run(
         &self,
         name: &str,
@@ -84,7 +80,7 @@
             return Reply::status(400);
         };
         let Some((mut pool, now)) = self.pool_of(name, called) else {
-            return self.reply_after_end(name);
+            return Reply::status(500);
         };
         let clock_ms = now.saturating_sub(called.born_ms);
         let reason = match pool.start(now, name, called, &start) {
@@ -112,7 +108,7 @@
             return Reply::status(400);
         };
         let Some((mut pool, now)) = self.pool_of(name, called) else {
-            return self.reply_after_end(name);
+            return Reply::status(500);
         };
         pool.stop(now, name, task, run, token);
         let clock_ms = now.saturating_sub(called.born_ms);
@@ -124,7 +120,7 @@
         let start = Instant::now();
         loop {
             let Some((mut pool, now)) = self.pool_of(name, called) else {
-                return self.reply_after_end(name);
+                return Reply::status(500);
             };
             let snapshot = pool.hold(
                 now,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -18,5 +18,6 @@
 mod promises;
 mod settings;
 mod upstream_ends;
+mod upstream_former_life;
 mod upstream_identity;
 mod upstream_overlaps;
