--- a/tests/upstream_former_life.rs
+++ b/tests/upstream_former_life.rs
@@ -18,7 +18,7 @@
 use serde_json::Value;
 
 use crate::{
-    disruption::{Start, starts},
+    disruption::{SETTLING_TIME, Start, starts},
     platform::start_site,
 };
 
@@ -117,6 +117,13 @@
     });
 }
 
+/// Waits until the coordinator orders starts for the present life of an
+/// upstream.
+fn wait_until_known(site: &Site, name: &str) {
+    wait_until_registered(site, name);
+    thread::sleep(SETTLING_TIME);
+}
+
 fn set_reachable(site: &Site, name: &str, reachable: bool) {
     if let Some(node) = site.workers.pool().nodes.get_mut(name) {
         node.reachable = reachable;
@@ -303,6 +310,7 @@
     delay_call(&site, &name);
     site.workers.delay_calls(&name, None);
     restart(&site, &name);
+    wait_until_known(&site, &name);
     submit(&site, LONG_JOB, &large_job(3000));
     assert_eq!(wait_for_start(&site, LONG_JOB).agent, name);
     thread::sleep(LISTING_TIME);
@@ -435,6 +443,7 @@
     wait_for_delayed_call(&site, &name);
     thread::sleep(LISTING_TIME);
     restart(&site, &name);
+    wait_until_known(&site, &name);
     submit(&site, LONG_JOB, &large_job(1500));
     wait_for_start(&site, LONG_JOB);
     thread::sleep(LISTING_TIME);
