--- a/crates/coordination/tests/ended_incarnations.rs
+++ b/crates/coordination/tests/ended_incarnations.rs
@@ -234,6 +234,36 @@
     assert_eq!(fixture.started_runs(), [1, 2]);
 }
 
+// Guards against a task that waits until the clock of the next incarnation has
+// passed that of an answer by the former one.
+#[test]
+fn an_answer_by_the_former_incarnation_does_not_hold_a_task_up() {
+    let (first, second) = (upstream("i-1", 1), upstream("i-1", 2));
+    let mut fixture = Fixture::with_ordered_run(&first);
+    fixture.report_snapshot(&second, 10);
+    fixture.report(Report {
+        start_results: vec![StartResult {
+            task: TASK,
+            run: 1,
+            outcome: StartOutcome::Running { clock_ms: 500_000 },
+        }],
+        ..Report::default()
+    });
+    fixture.run(PROMPT);
+    fixture.report(Report {
+        upstream: Some(second.clone()),
+        stop_results: vec![StopResult {
+            task: TASK,
+            run: 1,
+            clock_ms: 400,
+        }],
+        ..Report::default()
+    });
+    fixture.report_snapshot(&second, 500);
+    fixture.run(PROMPT);
+    assert_eq!(fixture.started_runs(), [1, 2]);
+}
+
 #[test]
 fn an_unanswered_start_is_given_up_when_its_grant_expires() {
     let first = upstream("i-1", 1);
