--- a/crates/coordination/tests/ended_incarnations.rs
+++ b/crates/coordination/tests/ended_incarnations.rs
@@ -309,3 +309,68 @@
     fixture.run(PROMPT);
     assert_eq!(fixture.started_runs(), [1, 2]);
 }
+
+// Guards against a stop that the successor refuses, because it has seen its own
+// token, which the coordinator had when it sent the stop.
+#[test]
+fn the_stop_on_a_successor_carries_the_token_of_that_successor() {
+    let (first, second) = (upstream("i-1", 1), upstream("i-1", 2));
+    let mut fixture = Fixture::with_ordered_run(&first);
+    fixture.report_end(&first);
+    fixture.report_snapshot(&second, 10);
+    let stop_tokens = fixture.sent.iter().filter_map(|m| match m {
+        ToAgent::Stop { token, .. } => Some(*token),
+        _ => None,
+    });
+    let stop_tokens: Vec<u64> = stop_tokens.collect();
+    assert_eq!(stop_tokens, [fixture.token()]);
+}
+
+// Guards against a task that waits for ever for the answer to a stop.
+#[test]
+fn a_run_that_lists_lack_is_given_up_though_no_stop_is_answered() {
+    let (first, second) = (upstream("i-1", 1), upstream("i-1", 2));
+    let mut fixture = Fixture::with_ordered_run(&first);
+    fixture.report_end(&first);
+    for n in 0..60 {
+        fixture.report_snapshot(&second, 10 + n * 300);
+        fixture.run(PROMPT);
+    }
+    assert_eq!(fixture.started_runs(), [1, 2]);
+}
+
+// Guards against a task that waits for a lease, though the end of a later
+// incarnation, which no report named before, shows that its upstream has ended.
+#[test]
+fn the_end_of_a_later_incarnation_shows_that_the_known_one_has_ended() {
+    let (first, second) = (upstream("i-1", 1), upstream("i-1", 2));
+    let spare = upstream("i-9", 1);
+    let mut fixture = Fixture::with_ordered_run(&first);
+    fixture.report(Report {
+        token: TOKEN,
+        upstream: Some(first),
+        start_results: vec![StartResult {
+            task: TASK,
+            run: 1,
+            outcome: StartOutcome::Running { clock_ms: 1300 },
+        }],
+        ..Report::default()
+    });
+    for n in 0..6 {
+        fixture.report_end(&second);
+        let report = Report {
+            token: TOKEN,
+            upstream: Some(spare.clone()),
+            snapshot: Some(Snapshot {
+                born_ms: spare.incarnation.born_ms,
+                clock_ms: 10 + n * 300,
+                ..Snapshot::default()
+            }),
+            ..Report::default()
+        };
+        let now = fixture.now;
+        fixture.scheduler.handle_report(now, "agent-9", report);
+        fixture.run(PROMPT);
+    }
+    assert_eq!(fixture.started_runs(), [1, 2]);
+}
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod extreme_jobs;
 mod former_incarnations;
 mod gangs;
+mod given_up_starts;
 mod lost_workers;
 mod many_ends;
 mod preemption;
