Give up a superseded run that lists lack though no stop of it is answered

Once every call for it has ended, and every lease from one, a list that lacks it is enough. a_run_that_lists_lack_is_given_up_though_no_stop_is_answered was red before.

--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -92,6 +92,23 @@
 }
 
 impl Run {
+    /// Returns after which time on the upstream's clock, in milliseconds, a
+    /// snapshot shows whether the run exists; `None` if none does yet.
+    pub(super) fn conclusive_after_ms(&self, now: Duration) -> Option<u64> {
+        match self.phase {
+            Phase::Committing { .. } => None,
+            Phase::Ordered {
+                conclusive_after_ms,
+            } => Some(conclusive_after_ms),
+            Phase::Superseded { stopped_at_ms } => {
+                // No call is on its way any more, so an answer to the stop is
+                // not needed.
+                stopped_at_ms.or((now >= self.settled_at).then_some(0))
+            }
+            Phase::Running { first_seen_ms } => Some(first_seen_ms),
+        }
+    }
+
     /// Returns whether no call to start the run is on its way any more. The
     /// answers to calls that an earlier coordinator has ordered are not known.
     pub(super) fn calls_have_ended(&self, now: Duration) -> bool {
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -377,18 +377,10 @@
                 let Some(run) = job.and_then(|j| j.runs.get(task)) else {
                     return false;
                 };
-                let conclusive_after_ms = match run.phase {
-                    Phase::Committing { .. } => return false,
-                    Phase::Ordered {
-                        conclusive_after_ms,
-                    } => conclusive_after_ms,
-                    Phase::Superseded { stopped_at_ms } => {
-                        stopped_at_ms.unwrap_or(u64::MAX)
-                    }
-                    Phase::Running { first_seen_ms } => first_seen_ms,
-                };
-                snapshot.clock_ms > conclusive_after_ms
-                    && !listed.contains(&(*task, run.number))
+                run.conclusive_after_ms(now.monotonic).is_some_and(|ms| {
+                    snapshot.clock_ms > ms
+                        && !listed.contains(&(*task, run.number))
+                })
             })
             .collect();
         for task in absent {
