--- a/crates/coordination/src/scheduler/incarnations.rs
+++ b/crates/coordination/src/scheduler/incarnations.rs
@@ -155,21 +155,27 @@
         }
     }
 
-    /// Releases the runs of an incarnation that has ended. A run whose start
-    /// is not settled is kept: a later incarnation with the same id would still
-    /// carry out the order, unless the run is stopped there first.
+    /// Releases the runs of an incarnation that has ended, and of those that
+    /// were there before it: an agent has one upstream at a time. `present` is
+    /// the one that the agent has now. A run whose start is not settled is
+    /// kept: a later incarnation with the same id would still carry out the
+    /// order, unless the run is stopped there first.
     pub(super) fn handle_ended_incarnation(
         &mut self,
         now: Now,
         agent: &str,
-        ended_incarnation: &Incarnation,
+        ended: &Incarnation,
+        present: Option<&Incarnation>,
     ) {
+        // After a change of the wall clock, the present one may be born before
+        // one that has ended.
+        let has_ended = |known: &Incarnation| {
+            known == ended
+                || known.born_ms < ended.born_ms && Some(known) != present
+        };
         let worker = self.workers.get_mut(agent);
-        let is_news = worker
-            .is_some_and(|worker| worker.end_incarnation(ended_incarnation));
-        for task in
-            self.tasks_placed_on(agent, |placed| placed == ended_incarnation)
-        {
+        let is_news = worker.is_some_and(|w| w.end_incarnation(has_ended));
+        for task in self.tasks_placed_on(agent, has_ended) {
             if self.is_settled(now, task) {
                 self.release(task, "its upstream has ended");
             } else if is_news {
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -35,7 +35,13 @@
         }
     }
     if let Some(ended_incarnation) = &report.ended_incarnation {
-        scheduler.handle_ended_incarnation(now, agent, ended_incarnation);
+        let present = report.upstream.as_ref().map(|u| &u.incarnation);
+        scheduler.handle_ended_incarnation(
+            now,
+            agent,
+            ended_incarnation,
+            present,
+        );
     }
     let Some(upstream) = report.upstream else {
         return;
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -152,10 +152,12 @@
         Some(clock + u64::try_from(elapsed).unwrap_or(0))
     }
 
-    /// Records that an incarnation has ended. Returns whether it was the known
-    /// one.
-    pub(super) fn end_incarnation(&mut self, ended: &Incarnation) -> bool {
-        let was_known = self.incarnation() == Some(ended);
+    /// Forgets the known incarnation if it has ended. Returns whether it has.
+    pub(super) fn end_incarnation(
+        &mut self,
+        has_ended: impl Fn(&Incarnation) -> bool,
+    ) -> bool {
+        let was_known = self.incarnation().is_some_and(has_ended);
         if was_known {
             self.upstream = None;
             self.clock = None;
