Do not give up an adopted run before calls for it have ended

But calls that the earlier coordinator has ordered may still reach the next incarnation, and the task was started elsewhere at once: run 1 at 1.53 s, run 2 at 1.58 s.

--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -97,6 +97,12 @@
     pub(super) fn conclusive_after_ms(&self, now: Duration) -> Option<u64> {
         match self.phase {
             Phase::Committing { .. } => None,
+            // A call for an adopted run may still reach the next incarnation.
+            Phase::Ordered { .. }
+                if self.is_adopted && !self.calls_have_ended(now) =>
+            {
+                None
+            }
             Phase::Ordered {
                 conclusive_after_ms,
             } => Some(conclusive_after_ms),
--- a/crates/coordination/tests/fleet/given_up_starts.rs
+++ b/crates/coordination/tests/fleet/given_up_starts.rs
@@ -102,3 +102,28 @@
         assert!(waited_ms <= 1000, "{listed_ms} ms listed: {waited_ms} ms");
     }
 }
+
+// Guards against a task that runs twice: the first list of a new coordinator
+// lacked its run, and the next incarnation begins it.
+#[test]
+fn a_run_that_the_first_list_after_a_take_over_lacks_is_not_given_up_at_once()
+{
+    for late_ms in (500..=1400).step_by(50) {
+        for uptime_ms in (250..=500).step_by(50) {
+            let mut sim = Sim::new(2, 1);
+            sim.run(1000);
+            sim.held_up_starts_ms = vec![late_ms; 3];
+            sim.submit(job(1, 1, 1, 8, 6000));
+            assert!(sim.run_until(500, |s| s.start_orders.len() == 1));
+            let order = sim.start_orders[0].1.clone();
+            let agent = order.rsplit(' ').next().unwrap_or_default();
+            sim.take_over();
+            sim.run(uptime_ms);
+            let now = sim.now_ms;
+            sim.pool.restart_upstream(now, agent);
+            let case = format!("{late_ms} ms late, {uptime_ms} ms");
+            assert!(sim.run_until(20_000, Sim::all_ended), "{case}");
+            assert_no_violations(&sim, &case);
+        }
+    }
+}
