--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -277,6 +277,11 @@
     /// Handles a new connection to an agent. Sends it the fencing token at
     /// once.
     pub fn agent_connected(&mut self, agent: &str) {
+        self.send_token(agent);
+    }
+
+    /// Sends an agent the fencing token of the orders to its upstream.
+    fn send_token(&mut self, agent: &str) {
         let grant = Grant {
             token: self.order_token(agent),
             ..Grant::default()
--- a/crates/coordination/src/scheduler/fences.rs
+++ b/crates/coordination/src/scheduler/fences.rs
@@ -1,4 +1,8 @@
 //! The fencing tokens of orders to upstreams, one for each incarnation.
+//!
+//! A token is the revision of a commit, so it is higher than the coordinator's
+//! own and lower than that of any later coordinator: the key of the next one is
+//! written after the last commit of this one.
 
 use super::{Scheduler, worker::Fence};
 
@@ -41,7 +45,7 @@
             }
         }
         for agent in fenced {
-            self.agent_connected(&agent);
+            self.send_token(&agent);
         }
     }
 }
--- a/crates/coordination/src/scheduler/message.rs
+++ b/crates/coordination/src/scheduler/message.rs
@@ -23,7 +23,7 @@
     Stop {
         /// The incarnation of the upstream that the message is for.
         upstream: Incarnation,
-        /// The fencing token of the coordinator that orders the stop.
+        /// The fencing token of orders to the incarnation.
         token: u64,
         /// The task that the run belongs to.
         task: TaskId,
@@ -35,7 +35,8 @@
 /// What an agent's upstream may do until the next grant.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Grant {
-    /// The fencing token of the coordinator that gives the grant.
+    /// The fencing token of orders to the upstream. It rises with each
+    /// coordinator and with each incarnation that a coordinator sees.
     pub token: u64,
     /// The incarnation of the upstream that the other fields refer to.
     pub upstream: Incarnation,
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -59,7 +59,7 @@
     }
     if report.token != scheduler.order_token(agent) {
         // The agent does not know the token: the message with it was lost.
-        scheduler.agent_connected(agent);
+        scheduler.send_token(agent);
         return;
     }
     if snapshot.born_ms != upstream.incarnation.born_ms {
--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -250,7 +250,8 @@
 
 /// Handles a message of a coordinator: stores a grant, and queues an order to
 /// start or stop a run. A message with a lower fencing token than the highest
-/// one seen comes from an earlier coordinator and is ignored.
+/// one seen comes from an earlier coordinator or was meant for an earlier
+/// incarnation of the upstream, and is ignored.
 fn handle_message(
     cx: &AgentContext,
     conn: ConnId,
@@ -268,8 +269,8 @@
             return;
         }
         if token > state.grant.token {
-            // A new coordinator's grants do not build on those of an earlier
-            // one.
+            // The grants of a new coordinator, or to a new incarnation, do not
+            // build on earlier ones.
             state.grant = Grant {
                 token,
                 ..Grant::default()
--- a/crates/state/src/runner.rs
+++ b/crates/state/src/runner.rs
@@ -136,7 +136,7 @@
     /// The time on the upstream's clock, in milliseconds, after which the
     /// upstream refuses the order.
     pub deadline_ms: u64,
-    /// The coordinator's fencing token.
+    /// The fencing token of orders to the upstream.
     pub token: u64,
     /// The checkpoint to resume from; empty if there is none.
     pub checkpoint: String,
@@ -254,7 +254,7 @@
 /// The parameters of [`Runner::hold`].
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Hold {
-    /// The coordinator's fencing token.
+    /// The fencing token of orders to the upstream.
     pub token: u64,
     /// The sequence number of the last ended run that is recorded in the
     /// store.
