Judge the way to the store by calls in order, and by probes

Callers of an entry that the store does not answer, while another entry can relay its calls, waited 0.7 s or got 504 or 503. An entry took any call that ended for the present state of its way to the store. A watch from before an outage that was answered in it ended the relaying: the next writes went out directly and were lost. A watch that was lost in an outage and ran out of time after it had the entry tell the others that it does not reach the store. Besides, only an ordinary call noticed that the store answers again, once a second, and none was left to do so while all threads waited for relayed calls that were lost.

The result of a call counts now only if no call that was sent later has ended before: coordination::store_path, free of I/O. While the store does not answer, one thread calls it every 0.5 s, and ordinary calls no longer probe.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,7 +6,8 @@
 //! [`term`], [`coordinator`] and [`agent`] are the state machines and
 //! [`message`] holds what they exchange. In the mode in which all scheduling
 //! state is kept in the platform's store, [`scheduler`], [`entries`],
-//! [`orders`], [`registration`] and [`campaign`] take their place. [`learn`]
+//! [`store_path`], [`orders`], [`registration`] and [`campaign`] take their
+//! place. [`learn`]
 //! estimates run times for both, and [`adoption`] tracks the revision of the
 //! settings that a process has in force.
 //!
@@ -30,4 +31,5 @@
 pub mod orders;
 pub mod registration;
 pub mod scheduler;
+pub mod store_path;
 pub mod term;
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -89,11 +89,7 @@
         )?;
         serve::metrics(&runtime, &settings.metrics, &journal)?;
         let config = &EntryConfig {
-            kv: Arc::new(RelayedKv::new(
-                config.kv.clone(),
-                mesh.clone(),
-                config.clock.clone(),
-            )),
+            kv: Arc::new(RelayedKv::new(config.kv.clone(), mesh.clone())),
             ..config.clone()
         };
         let in_flight = Arc::new(AtomicUsize::new(0));
--- a/crates/node/src/fleet/mesh.rs
+++ b/crates/node/src/fleet/mesh.rs
@@ -16,7 +16,10 @@
 };
 
 use crossbeam::channel::{Receiver, Sender, bounded};
-use figrill_coordination::entries::{Entries, UnconfirmedWrites, WriteResult};
+use figrill_coordination::{
+    entries::{Entries, UnconfirmedWrites, WriteResult},
+    store_path::StorePath,
+};
 use figrill_protocol::message::Message;
 use figrill_state::{
     batch::{Batch, BatchId, encode, keys},
@@ -79,7 +82,7 @@
     /// The number of the next query to another entry.
     next_number: AtomicU64,
     /// Whether the store answers the direct calls of this process.
-    reaches_store: AtomicBool,
+    store_path: Mutex<StorePath>,
     /// The revision of the record of this entry in the store, or 0 before it
     /// is written.
     record_revision: AtomicU64,
@@ -109,7 +112,7 @@
             journal,
             job_records,
             next_number: AtomicU64::new(1),
-            reaches_store: AtomicBool::new(true),
+            store_path: Mutex::default(),
             record_revision: AtomicU64::new(0),
             record_lost: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -369,27 +372,42 @@
         }
     }
 
-    /// Records whether the store answers the direct calls of this process. On
-    /// a change, records an event with the reason and notifies the other
-    /// entries.
-    fn set_reaches_store(&self, reaches: bool, why: &str) {
-        let previous = self.0.reaches_store.swap(reaches, Ordering::Relaxed);
-        if previous == reaches {
-            return;
-        }
-        let code = if reaches {
-            Code::StoreDirect
-        } else {
-            Code::StoreByEntry
-        };
-        self.0.journal.record_event(code, format!("why={why}"));
-        if self.0.net.get().is_some() {
-            self.send_heartbeats();
+    /// Makes a call to the store directly, and records whether the store was
+    /// available. On a change, records an event with the reason and notifies
+    /// the other entries.
+    fn call_directly(
+        &self,
+        store: &dyn Kv,
+        call: &Call,
+        timeout: Duration,
+    ) -> Result<CallResult, KvError> {
+        let sent_at = self.now();
+        let result = call.execute(store, timeout);
+        let outage = result.as_ref().err().filter(|e| e.is_outage());
+        let changed = self.store_path().record(sent_at, outage.is_none());
+        if changed {
+            let (code, why) = match outage {
+                Some(e) => (Code::StoreByEntry, e.to_string()),
+                None => (
+                    Code::StoreDirect,
+                    "the store answers direct calls".to_owned(),
+                ),
+            };
+            self.0.journal.record_event(code, format!("why={why}"));
+            if self.0.net.get().is_some() {
+                self.send_heartbeats();
+            }
         }
+        result
+    }
+
+    fn store_path(&self) -> MutexGuard<'_, StorePath> {
+        let path = self.0.store_path.lock();
+        path.unwrap_or_else(PoisonError::into_inner)
     }
 
     fn reaches_store(&self) -> bool {
-        self.0.reaches_store.load(Ordering::Relaxed)
+        self.store_path().works()
     }
 
     fn send_heartbeats(&self) {
--- a/crates/node/src/fleet/mesh/hub.rs
+++ b/crates/node/src/fleet/mesh/hub.rs
@@ -1,12 +1,12 @@
 //! The thread that handles the events on the streams of an entry, and the
 //! threads that make relayed calls.
 
-use std::{sync::Arc, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use figrill_protocol::message::{Message, Peer, Role};
 use figrill_state::{
-    batch::{Batch, decode},
+    batch::{Batch, decode, keys},
     event::Code,
     kv::{Kv, KvError, call::Call},
 };
@@ -26,6 +26,12 @@
 /// The maximum time between two checks for entries that must be dialled.
 const DIAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The interval at which a store that does not answer is called.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time limit for such a call.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The number of threads that make relayed calls.
 const RELAY_THREADS: usize = 3;
 
@@ -77,6 +83,8 @@
             (mesh.clone(), config.kv.clone(), relayed_rx.clone());
         serve::spawn("helper", move || run_relayed_calls(&mesh, &kv, &rx))?;
     }
+    let (probe_mesh, kv) = (mesh.clone(), config.kv.clone());
+    serve::spawn("probe", move || probe_store(&probe_mesh, &kv))?;
     let (config, hub_mesh) = (config.clone(), mesh.clone());
     serve::spawn("hub", move || {
         let secret = secret::load_or_create(&*config.kv);
@@ -286,3 +294,19 @@
         );
     }
 }
+
+/// Calls the store while it does not answer this process. All other calls are
+/// relayed then, and may not end for a second after the store answers again.
+/// Never returns.
+fn probe_store(mesh: &Mesh, kv: &Arc<dyn Kv>) {
+    let call = Call::Get {
+        key: keys::COORDINATOR.to_owned(),
+    };
+    loop {
+        thread::sleep(PROBE_INTERVAL);
+        if !mesh.reaches_store() {
+            // The result counts for the path to the store.
+            let _ = mesh.call_directly(&**kv, &call, PROBE_TIMEOUT);
+        }
+    }
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -15,6 +15,7 @@
 mod path;
 mod platform;
 mod platform_failures;
+mod platform_relays;
 mod promises;
 mod settings;
 mod upstream_ends;
