Take relayed calls for what they show of the relaying entry's store

An entry that relays calls for another one did not notice that the store no longer answers it when these calls failed, but only when its own did: up to 1.7 s later. Until then the other entry went on sending it every call, and lost each.

A relayed call counts like a direct call of the entry that makes it. It then tells the others at once.

--- a/crates/node/src/fleet/mesh/hub.rs
+++ b/crates/node/src/fleet/mesh/hub.rs
@@ -271,8 +271,9 @@
     }
 }
 
-/// Makes relayed calls until the queue is closed. A call that its sender has
-/// given up is not made: a write that is applied long after it was sent may
+/// Makes relayed calls until the queue is closed. They show whether the store
+/// answers this process, as its own calls do. A call that its sender has given
+/// up is not made: a write that is applied long after it was sent may
 /// contradict what callers were told meanwhile.
 fn run_relayed_calls(
     mesh: &Mesh,
@@ -281,7 +282,7 @@
 ) {
     for relayed in rx {
         let result = if mesh.now() < relayed.expires_at {
-            relayed.call.execute(&**kv, relayed.timeout)
+            mesh.call_directly(&**kv, &relayed.call, relayed.timeout)
         } else {
             Err(KvError::Refused("its sender has given up".to_owned()))
         };
--- a/tests/platform_relays.rs
+++ b/tests/platform_relays.rs
@@ -81,3 +81,24 @@
         log[start..].contains("StoreDirect").then_some(())
     });
 }
+
+// Guards against an entry that does not notice that the store is silent when
+// the calls fail that it relays: others go on to send it theirs.
+#[test]
+fn an_entry_notices_a_silent_store_by_the_calls_that_it_relays() {
+    let (site, coordinator, other) = start_pair();
+    let start = log(&site, coordinator).len();
+    let faults = |i: usize| site.entries[i].store_endpoint.faults();
+    faults(coordinator).outage = Outage::Refusing;
+    wait_for_event(&site, coordinator, start, "StoreByEntry");
+    thread::sleep(Duration::from_secs(1));
+    let start = log(&site, coordinator).len();
+    faults(other).outage = Outage::Unresponsive;
+    thread::sleep(Duration::from_secs(2));
+    let after = &log(&site, coordinator)[start..];
+    let unanswered = |line: &&str| {
+        line.contains("renew the coordinator's lease")
+            && line.contains("no answer from the relaying entry")
+    };
+    assert_eq!(after.lines().filter(unanswered).count(), 1, "{after}");
+}
