Relay the renewals of an entry's record

A submission got 504 after 1.67 s although another entry reached the store. That entry had lost its record, without which it relays no write, in an outage of its own that had ended a second before: the lease of 4 s was renewed only directly, a renewal without an answer took 1.2 s, and the next came 1 s after it.

The renewals go the way of all other calls, through another entry if need be, and one that failed is repeated after 150 ms.

--- a/crates/node/src/fleet/mesh/directory.rs
+++ b/crates/node/src/fleet/mesh/directory.rs
@@ -13,9 +13,9 @@
     kv::{Change, Item, Kv, KvError, LeaseId, Txn},
 };
 
-use super::Mesh;
+use super::{Mesh, relay::RelayedKv};
 use crate::fleet::{
-    EntryConfig, STORE_TIMEOUT,
+    EntryConfig, STORE_RETRY_DELAY, STORE_TIMEOUT,
     refusals::{Refusals, decode_address},
     serve,
 };
@@ -35,9 +35,13 @@
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Starts the threads that keep the record of this entry and follow the
-/// records of all entries.
+/// records of all entries. If the store does not answer this entry, another
+/// one relays the renewals, as it does the calls for callers: without its
+/// record this entry could relay no write. The records of the others are
+/// followed directly, because a relayed watch blocks a thread of the relaying
+/// entry.
 pub(super) fn start(config: &EntryConfig, mesh: &Mesh) {
-    let kv = config.kv.clone();
+    let kv = RelayedKv::new(config.kv.clone(), mesh.clone());
     let (name, address) = (
         config.deployment.name.clone(),
         config.deployment.advertise.clone(),
@@ -54,15 +58,15 @@
 }
 
 /// Keeps the record of this entry in the store until the process stops.
-fn keep_record(kv: &Arc<dyn Kv>, mesh: &Mesh, name: &str, address: &str) {
+fn keep_record(kv: &dyn Kv, mesh: &Mesh, name: &str, address: &str) {
     while !mesh.is_leaving() {
-        match write_record(&**kv, name, address) {
+        match write_record(kv, name, address) {
             Ok(written) => {
                 mesh.set_registered(
                     written.revision,
                     written.is_first_incarnation,
                 );
-                renew_lease(&**kv, mesh, written.lease);
+                renew_lease(kv, mesh, written.lease);
             }
             Err(e) => log::debug!("failed to store the entry record: {e}"),
         }
@@ -136,20 +140,25 @@
 }
 
 /// Renews the lease of the record until it has expired, the record was lost or
-/// the process stops.
+/// the process stops. A renewal that failed is repeated soon, as the lease
+/// lasts for only a few of them.
 fn renew_lease(kv: &dyn Kv, mesh: &Mesh, lease: LeaseId) {
+    let mut delay = RENEWAL_INTERVAL;
     while !mesh.is_leaving() {
-        thread::sleep(RENEWAL_INTERVAL);
+        thread::sleep(delay);
         if mesh.0.record_lost.swap(false, Ordering::Relaxed) {
             return;
         }
-        match kv.renew(lease, STORE_TIMEOUT) {
-            Ok(()) => {}
+        delay = match kv.renew(lease, STORE_TIMEOUT) {
+            Ok(()) => RENEWAL_INTERVAL,
             Err(KvError::LeaseNotFound) => return,
-            Err(e) => log::debug!(
-                "failed to renew the lease of the entry record: {e}"
-            ),
-        }
+            Err(e) => {
+                log::debug!(
+                    "failed to renew the lease of the entry record: {e}"
+                );
+                STORE_RETRY_DELAY
+            }
+        };
     }
 }
 
--- a/tests/platform_relays.rs
+++ b/tests/platform_relays.rs
@@ -7,6 +7,7 @@
     platform::{client::job, site::Site, store::Outage},
     process::wait_for,
 };
+use figrill_state::kv::Kv;
 
 use crate::platform::start_site;
 
@@ -102,3 +103,26 @@
     };
     assert_eq!(after.lines().filter(unanswered).count(), 1, "{after}");
 }
+
+// Guards against an entry whose record lapses in an outage in which another
+// entry could have relayed its renewals. No write is relayed through an entry
+// without a record.
+#[test]
+fn an_entry_keeps_its_record_while_the_store_does_not_answer_it() {
+    let site = start_site(2, 1);
+    for i in 0..2 {
+        let key = format!("figrill/entry/entry-{i}");
+        let revision = || {
+            let item = site.kv.get(&key, Duration::ZERO).ok().flatten();
+            item.map(|item| item.revision)
+        };
+        let before = revision();
+        assert!(before.is_some());
+        site.entries[i].store_endpoint.faults().outage = Outage::Unresponsive;
+        for _ in 0..80 {
+            thread::sleep(Duration::from_millis(100));
+            assert_eq!(revision(), before, "{key}");
+        }
+        site.entries[i].store_endpoint.faults().outage = Outage::None;
+    }
+}
