Refuse a job only if no entry that can be reached has the store

A submission got 503 after 2 ms although another entry could relay the write, or the store answered the entry itself again. The entry took its last read of the configuration for the state of the store. One that is lost in an outage, or on its way through an entry that has lost the store, takes 1.2 s to fail, and its repetition may be lost as well: the refusals go on for that long.

A submission is now refused unseen only if the last read has failed and also neither this entry reaches the store nor one that can relay a write. The same holds for readiness.

--- a/crates/coordination/src/entries.rs
+++ b/crates/coordination/src/entries.rs
@@ -260,6 +260,15 @@
         })
     }
 
+    /// Returns whether an entry can relay a write to the store.
+    #[must_use]
+    pub fn has_write_relay(&self) -> bool {
+        self.peers.values().any(|peer| {
+            peer.record_revision.is_some()
+                && peer.stream.is_some_and(|s| s.reaches_store)
+        })
+    }
+
     /// Chooses one of the connected entries that reach the store and for which
     /// `describe` returns something.
     fn choose_relay<T>(
--- a/crates/coordination/tests/entries.rs
+++ b/crates/coordination/tests/entries.rs
@@ -107,7 +107,9 @@
         entries.set_reaches_store(id, true);
     }
     assert_eq!(entries.next_write_relay(), None);
+    assert!(!entries.has_write_relay());
     entries.set_record_revision("x", 7);
+    assert!(entries.has_write_relay());
     let relay = WriteRelay {
         stream: 2,
         name: "x".to_owned(),
@@ -117,6 +119,7 @@
     assert_eq!(entries.next_write_relay(), Some(relay));
     entries.remove(at(1), "x");
     assert_eq!(entries.next_write_relay(), None);
+    assert!(!entries.has_write_relay());
     entries.add(at(2), "x", "");
     assert_eq!(entries.next_write_relay(), None);
 }
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -255,9 +255,7 @@
         batch: &Batch,
         deadline: &dyn Deadline,
     ) -> WriteOutcome {
-        let store_available =
-            self.catalog.store_available.load(Ordering::Relaxed);
-        if !store_available || !self.mesh.is_registered() {
+        if !self.store_available() || !self.mesh.is_registered() {
             return WriteOutcome::NotApplied;
         }
         self.mesh.begin_write(batch.id);
@@ -266,10 +264,18 @@
         outcome
     }
 
+    /// Returns whether the store is not known to be unavailable. A lost read
+    /// alone does not show it: the call may have been lost on its way through
+    /// another entry, and takes a second to fail.
+    fn store_available(&self) -> bool {
+        self.catalog.last_read_succeeded.load(Ordering::Relaxed)
+            || self.mesh.can_write()
+    }
+
     /// Returns the delay, in seconds, after which a caller is told to submit
     /// its job again.
     fn store_retry_after_s(&self) -> u32 {
-        if self.catalog.store_available.load(Ordering::Relaxed) {
+        if self.store_available() {
             RETRY_AFTER_S
         } else {
             OUTAGE_RETRY_AFTER_S
--- a/crates/node/src/fleet/catalog.rs
+++ b/crates/node/src/fleet/catalog.rs
@@ -28,9 +28,8 @@
 #[derive(Default)]
 pub(super) struct SharedCatalog {
     catalog: RwLock<Option<Arc<Catalog>>>,
-    /// Whether the last read of the catalogue succeeded. The other threads
-    /// take this as the state of the store.
-    pub(super) store_available: AtomicBool,
+    /// Whether the last read of the catalogue succeeded.
+    pub(super) last_read_succeeded: AtomicBool,
 }
 
 impl SharedCatalog {
@@ -156,7 +155,7 @@
     failing: &mut bool,
 ) {
     shared
-        .store_available
+        .last_read_succeeded
         .store(read.is_ok(), Ordering::Relaxed);
     match read {
         Err(e) if !*failing => {
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -82,7 +82,10 @@
             &settings.readiness,
             move || {
                 ready_catalog.get().is_some()
-                    && ready_catalog.store_available.load(Ordering::Relaxed)
+                    && (ready_catalog
+                        .last_read_succeeded
+                        .load(Ordering::Relaxed)
+                        || ready_mesh.can_write())
                     && ready_mesh.is_registered()
             },
             draining.clone(),
--- a/crates/node/src/fleet/mesh.rs
+++ b/crates/node/src/fleet/mesh.rs
@@ -406,6 +406,12 @@
         path.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether a write can reach the store, directly or through
+    /// another entry.
+    pub(super) fn can_write(&self) -> bool {
+        self.reaches_store() || self.lock().entries.has_write_relay()
+    }
+
     fn reaches_store(&self) -> bool {
         self.store_path().works()
     }
--- a/tests/platform_relays.rs
+++ b/tests/platform_relays.rs
@@ -126,3 +126,18 @@
         site.entries[i].store_endpoint.faults().outage = Outage::None;
     }
 }
+
+// Guards against an entry that refuses a job because its last read of the
+// configuration was lost, although another entry can relay the write.
+#[test]
+fn a_job_is_accepted_after_a_lost_read_of_the_configuration() {
+    let (site, _, other) = start_pair();
+    let start = log(&site, other).len();
+    site.entries[other].store_endpoint.faults().outage = Outage::Unresponsive;
+    wait_for_event(&site, other, start, "StoreFailed");
+    let work = job(1, 1, 10, false);
+    let answer = site.client.submit(site.entry(other), 2, &work);
+    assert_eq!(answer.status, 200, "{:?}", answer.latency);
+    site.wait_for_state(other, 2, "done", WAIT_LIMIT);
+    site.assert_no_violations();
+}
