Take the end of a run for final once no call for it is on its way

The first call of a start is not answered, its repeat is, the task is done and its job shown so. Then the upstream restarts under its id, and its next incarnation executes the first call before anybody has called it.

Cause: an end was taken for final, acknowledged and shown, while a call to start the same run was still on its way.

Fix: such an end, and the ends after it in the same list, wait until every call was answered, or for 1.5 s after the order, for which agents make calls. If the upstream restarts meanwhile, the end was never taken note of, and the task runs again as after any restart. Only runs that end within 1.5 s of an order with an unanswered call wait. The start of the job is shown at once. Runs of an earlier coordinator are left out: it is not known which calls were answered, and all ends after a take-over would wait.

--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -115,6 +115,15 @@
         }
     }
 
+    /// Returns whether a call to start the run that this coordinator has
+    /// ordered may be on its way.
+    pub(super) fn awaits_answers(&self, now: Duration) -> bool {
+        let is_recent = |at: Duration| now < at + START_WINDOW;
+        !self.is_answered
+            && !self.is_adopted
+            && self.ordered_at.is_some_and(is_recent)
+    }
+
     /// Returns whether no call to start the run is on its way any more. The
     /// answers to calls that an earlier coordinator has ordered are not known.
     pub(super) fn calls_have_ended(&self, now: Duration) -> bool {
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -158,10 +158,17 @@
         }
         worker.clock = Some((snapshot.clock_ms, now.monotonic));
         let last_end_number = worker.last_end_number;
+        let mut is_final = true;
         for ended in
             snapshot.ended.iter().filter(|e| e.number > last_end_number)
         {
-            self.apply_end(now, agent, ended);
+            self.record_start(now, ended.task, agent, "end");
+            // Ends are acknowledged in their order, so those after one that
+            // is not final wait as well.
+            is_final &= !self.may_begin_again(now, agent, ended);
+            if is_final {
+                self.apply_end(now, agent, ended);
+            }
         }
         for running in &snapshot.running {
             self.apply_running(
@@ -227,6 +234,24 @@
         self.record_event(Code::JobStarted, id.job, &detail);
     }
 
+    /// Returns whether a call to start a run that has ended is still on its
+    /// way. The end is not taken for final until then: should the upstream
+    /// start again meanwhile, its next incarnation may begin the run.
+    fn may_begin_again(
+        &self,
+        now: Now,
+        agent: &str,
+        ended: &EndedRun,
+    ) -> bool {
+        let job = self.jobs.get(&ended.task.job);
+        let run = job.and_then(|j| j.runs.get(&ended.task));
+        run.is_some_and(|r| {
+            r.agent == agent
+                && r.number == ended.run
+                && r.awaits_answers(now.monotonic)
+        })
+    }
+
     /// Handles the end of a run that a snapshot lists.
     fn apply_end(&mut self, now: Now, agent: &str, ended: &EndedRun) {
         let id = ended.task;
@@ -242,7 +267,6 @@
             worker.uncommitted_ends.insert(ended.number, id.job);
         }
         self.dirty.insert(id.job);
-        self.record_start(now, id, agent, "end");
         let current = self.jobs.get_mut(&id.job).and_then(|job| {
             let run = job.runs.get_mut(&id)?;
             (run.agent == agent && run.number == ended.run).then_some(run)
@@ -369,8 +393,9 @@
         if !snapshot.lists_all_ends() {
             return;
         }
-        let listed: BTreeSet<(TaskId, u32)> =
-            snapshot.running.iter().map(|r| (r.task, r.run)).collect();
+        let running = snapshot.running.iter().map(|r| (r.task, r.run));
+        let ended = snapshot.ended.iter().map(|e| (e.task, e.run));
+        let listed: BTreeSet<(TaskId, u32)> = running.chain(ended).collect();
         let Some(worker) = self.workers.get(agent) else {
             return;
         };
