Stand-in: a delay outlasts a silent restart, and tell what became of calls

A call with a delay of its own waits for its end also when the next incarnation starts, so that it can reach an incarnation that is at work already. Only calls without one are its first. Workers::carried_out tells which calls were carried out by a later incarnation, after how long, and whether they were accepted.

--- a/crates/standin/src/platform/workers.rs
+++ b/crates/standin/src/platform/workers.rs
@@ -26,7 +26,7 @@
 mod silence;
 
 use delays::Delays;
-pub use delays::{Delay, Share};
+pub use delays::{CallKind, CarriedOut, Delay, Share};
 
 /// The interval at which the model's clock advances.
 const STEP_INTERVAL: Duration = Duration::from_millis(10);
--- a/crates/standin/src/platform/workers/delays.rs
+++ b/crates/standin/src/platform/workers/delays.rs
@@ -9,6 +9,7 @@
 };
 
 use figrill_example::pool::Pool;
+use figrill_state::{batch::Incarnation, runner::StartOutcome};
 use serde_json::Value;
 
 use super::{
@@ -47,30 +48,52 @@
     pub duration: Option<Duration>,
 }
 
+/// A kind of calls that can be held up.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Kind {
+pub enum CallKind {
+    /// An order to start a run.
     Start,
+    /// An order to stop a run.
     Stop,
+    /// A hold call that acknowledges no ends of runs.
     Hold,
+    /// A hold call that acknowledges ends of runs.
     Acknowledgement,
 }
 
+/// A call that was held up and carried out in the end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CarriedOut {
+    /// The kind of the call.
+    pub kind: CallKind,
+    /// The time from its receipt until it was carried out.
+    pub delay: Duration,
+    /// Whether a later incarnation than the one that received the call has
+    /// carried it out.
+    pub by_later: bool,
+    /// Whether it was not refused, for its fencing token or otherwise. Stops
+    /// have no answer that tells.
+    pub accepted: bool,
+}
+
 /// The delay of one upstream and what it needs to know of earlier calls.
 #[derive(Default)]
 struct ActiveDelay {
     delay: Delay,
     /// The orders of which an attempt was received, by kind and name.
-    attempted: BTreeSet<(Kind, String)>,
+    attempted: BTreeSet<(CallKind, String)>,
     /// The number of calls of each kind that were received.
-    counts: BTreeMap<Kind, u32>,
+    counts: BTreeMap<CallKind, u32>,
 }
 
 struct DelayedCall {
     /// The name of the agent beside the upstream.
     agent: String,
     expected_instance: Option<String>,
-    kind: Kind,
+    kind: CallKind,
     body: Value,
+    /// When the call was received, and the start of the incarnation then.
+    received: (Instant, u64),
     due: Option<Instant>,
 }
 
@@ -80,6 +103,7 @@
     active: BTreeMap<String, ActiveDelay>,
     /// In the order of their receipt.
     calls: Vec<DelayedCall>,
+    carried_out: Vec<CarriedOut>,
 }
 
 impl Workers {
@@ -104,6 +128,13 @@
         delays.calls.iter().filter(|c| c.agent == name).count()
     }
 
+    /// Returns the calls that were held up and carried out in the end, in this
+    /// order.
+    #[must_use]
+    pub fn carried_out(&self) -> Vec<CarriedOut> {
+        self.lock_delays().carried_out.clone()
+    }
+
     /// Has the present incarnation of an upstream carry out the calls that are
     /// held up, in the order of their receipt. It drops those that expect
     /// another id. While the upstream has ended, they remain held up.
@@ -111,6 +142,15 @@
         self.carry_out(|call| call.agent == name);
     }
 
+    /// Has an incarnation that starts carry out the calls that are held up, as
+    /// [`Self::carry_out_delayed`] does, but for those whose delay is not over.
+    pub(super) fn carry_out_at_start(&self, name: &str) {
+        let now = Instant::now();
+        self.carry_out(|call| {
+            call.agent == name && call.due.is_none_or(|at| at <= now)
+        });
+    }
+
     /// Has the calls carried out whose delay is over.
     pub(super) fn carry_out_due(&self) {
         if self.lock_delays().calls.is_empty() {
@@ -130,7 +170,8 @@
             calls.into_iter().partition(|c| is_due(c) && runs(&c.agent));
         delays.calls = later;
         for call in due {
-            call.carry_out(&mut pool, now_ms);
+            let carried_out = call.carry_out(&mut pool, now_ms);
+            delays.carried_out.extend(carried_out);
         }
     }
 
@@ -142,9 +183,12 @@
         call: &Call,
         body: &Value,
     ) -> bool {
-        let Some(kind) = Kind::of(&call.path, body) else {
+        let Some(kind) = CallKind::of(&call.path, body) else {
             return false;
         };
+        let pool = self.pool();
+        let born_ms =
+            pool.nodes.get(name).map(|n| n.upstream.incarnation.born_ms);
         let mut delays = self.lock_delays();
         let Some(active) = delays.active.get_mut(name) else {
             return false;
@@ -153,12 +197,14 @@
             return false;
         }
         let duration = active.delay.duration;
+        let now = Instant::now();
         delays.calls.push(DelayedCall {
             agent: name.to_owned(),
             expected_instance: call.expected_instance.clone(),
             kind,
             body: body.clone(),
-            due: duration.map(|d| Instant::now() + d),
+            received: (now, born_ms.unwrap_or(0)),
+            due: duration.map(|d| now + d),
         });
         true
     }
@@ -169,7 +215,7 @@
     }
 }
 
-impl Kind {
+impl CallKind {
     fn of(path: &str, body: &Value) -> Option<Self> {
         match path {
             "/-/run-start" => Some(Self::Start),
@@ -185,18 +231,18 @@
 
 impl ActiveDelay {
     /// Returns whether a call is held up, and counts it.
-    fn includes(&mut self, kind: Kind, body: &Value) -> bool {
+    fn includes(&mut self, kind: CallKind, body: &Value) -> bool {
         let share = match kind {
-            Kind::Start => self.delay.starts,
-            Kind::Stop => self.delay.stops,
-            Kind::Hold => self.delay.holds,
-            Kind::Acknowledgement => self.delay.acknowledgements,
+            CallKind::Start => self.delay.starts,
+            CallKind::Stop => self.delay.stops,
+            CallKind::Hold => self.delay.holds,
+            CallKind::Acknowledgement => self.delay.acknowledgements,
         };
         let order = match kind {
-            Kind::Start | Kind::Stop => {
+            CallKind::Start | CallKind::Stop => {
                 format!("{}/{}", body["task"], body["run"])
             }
-            Kind::Hold | Kind::Acknowledgement => String::new(),
+            CallKind::Hold | CallKind::Acknowledgement => String::new(),
         };
         let is_first = self.attempted.insert((kind, order));
         let count = self.counts.entry(kind).or_insert(0);
@@ -213,39 +259,54 @@
 impl DelayedCall {
     /// Has the present incarnation carry out the call, unless the call expects
     /// another id.
-    fn carry_out(&self, pool: &mut Pool, now_ms: u64) {
-        let (agent, body) = (self.agent.as_str(), &self.body);
-        let Some(node) = pool.nodes.get(agent) else {
-            return;
-        };
-        let present = node.upstream.incarnation.clone();
+    fn carry_out(&self, pool: &mut Pool, now_ms: u64) -> Option<CarriedOut> {
+        let (agent, kind) = (self.agent.as_str(), self.kind);
+        let present = pool.nodes.get(agent)?.upstream.incarnation.clone();
         let expected = self.expected_instance.as_ref();
         if expected.is_some_and(|id| *id != present.id) {
-            return;
+            return None;
         }
-        let kind = self.kind;
-        pool.trace
-            .push(format!("{now_ms} delayed {kind:?} {agent}"));
-        match kind {
-            Kind::Start => {
-                if let Some(start) = parse_start_order(body) {
-                    pool.start(now_ms, agent, &present, &start);
-                }
+        let (at, born_ms) = self.received;
+        let delay = at.elapsed();
+        pool.trace.push(format!(
+            "{now_ms} delayed {kind:?} by {} ms {agent}",
+            delay.as_millis()
+        ));
+        Some(CarriedOut {
+            kind,
+            delay,
+            by_later: present.born_ms != born_ms,
+            accepted: self.execute(pool, now_ms, &present),
+        })
+    }
+
+    /// Executes the call. Returns whether it was accepted.
+    fn execute(
+        &self,
+        pool: &mut Pool,
+        now_ms: u64,
+        present: &Incarnation,
+    ) -> bool {
+        let (agent, body) = (self.agent.as_str(), &self.body);
+        match self.kind {
+            CallKind::Start => {
+                let outcome = parse_start_order(body)
+                    .map(|start| pool.start(now_ms, agent, present, &start));
+                matches!(outcome, Some(StartOutcome::Running { .. }))
             }
-            Kind::Stop => {
-                if let Some((task, run, token)) = parse_stop_order(body) {
+            CallKind::Stop => {
+                let stop = parse_stop_order(body);
+                if let Some((task, run, token)) = stop {
                     pool.stop(now_ms, agent, task, run, token);
                 }
+                stop.is_some()
             }
-            Kind::Hold | Kind::Acknowledgement => {
+            CallKind::Hold | CallKind::Acknowledgement => {
                 let hold = parse_hold_order(body);
-                pool.hold(
-                    now_ms,
-                    agent,
-                    hold.token,
-                    hold.acknowledged,
-                    hold.deadline_ms,
-                );
+                let (token, acknowledged) = (hold.token, hold.acknowledged);
+                let deadline_ms = hold.deadline_ms;
+                pool.hold(now_ms, agent, token, acknowledged, deadline_ms)
+                    .is_some()
             }
         }
     }
--- a/crates/standin/src/platform/workers/silence.rs
+++ b/crates/standin/src/platform/workers/silence.rs
@@ -21,7 +21,8 @@
 
     /// Starts an upstream that has ended silently again, as a new incarnation
     /// with the same id and address. It carries out the calls that are held up
-    /// as its first ones. If it is not `reachable`, it runs cut off until
+    /// as its first ones, but for those with a delay that is not over. If it is
+    /// not `reachable`, it runs cut off until
     /// that is changed in the model.
     pub fn start_after_silence(&self, name: &str, reachable: bool) {
         let (mut pool, now) = self.pool_and_time();
@@ -34,7 +35,7 @@
             process.runs = true;
         }
         drop(pool);
-        self.carry_out_delayed(name);
+        self.carry_out_at_start(name);
         if let Some(node) = self.pool().nodes.get_mut(name) {
             node.reachable = reachable;
         }
--- a/crates/standin/tests/delays.rs
+++ b/crates/standin/tests/delays.rs
@@ -7,7 +7,9 @@
     time::{Duration, Instant},
 };
 
-use figrill_standin::platform::workers::{Delay, Share, Successor, Workers};
+use figrill_standin::platform::workers::{
+    CallKind, Delay, Share, Successor, Workers,
+};
 use serde_json::{Value, json};
 
 /// The time limit of a call.
@@ -158,6 +160,39 @@
     assert_timeout(hold(&workers, 0));
 }
 
+#[test]
+fn a_call_whose_delay_is_not_over_is_not_carried_out_at_the_start() {
+    let duration = Duration::from_millis(600);
+    let workers = one_upstream();
+    delay_starts(&workers, Share::All, Some(duration));
+    assert_timeout(start(&workers));
+    workers.restart_silently(AGENT, Duration::ZERO);
+    assert_eq!(starts(&workers), 0);
+    assert_eq!(workers.carried_out(), []);
+    thread::sleep(2 * duration);
+    assert_eq!(starts(&workers), 1);
+    let [call] = workers.carried_out()[..] else {
+        panic!("not one call: {:?}", workers.carried_out());
+    };
+    assert_eq!(call.kind, CallKind::Start);
+    assert!(call.by_later && call.accepted && call.delay >= duration);
+}
+
+#[test]
+fn a_call_of_the_same_life_or_with_a_low_token_does_not_count() {
+    let workers = one_upstream();
+    delay_starts(&workers, Share::All, None);
+    assert_timeout(start(&workers));
+    workers.delay_calls(AGENT, None);
+    let order = json!({"fencing_token": 2, "ack_cursor": 0});
+    assert_eq!(call(&workers, "/-/hold", &order).expect("an answer"), 200);
+    workers.carry_out_delayed(AGENT);
+    let [carried_out] = workers.carried_out()[..] else {
+        panic!("not one call: {:?}", workers.carried_out());
+    };
+    assert!(!carried_out.by_later && !carried_out.accepted);
+}
+
 #[test]
 fn a_silent_restart_refuses_no_connections() {
     let workers = one_upstream();
