Soak: restarts of upstreams with calls that reach the next incarnation

The profile restarts, also a part of all, plays series of silent restarts of up to half of the upstreams, with first attempts of starts, holds and acknowledgements held up, while jobs with long tasks run and the coordinating entry and agents are killed, stopped and paused. The series have threads of their own, so that a slow restart of a process does not stretch them. A round tells how many calls a later incarnation carried out, and a broken one writes upstreams.log.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -22,6 +22,9 @@
 /// The number of concurrent callers of a site.
 pub const CALLERS: u64 = 6;
 
+/// The numbers of the callers that submit long tasks.
+pub const LONG_CALLERS: std::ops::Range<u64> = 1000..1002;
+
 /// The time that a caller that keeps its connection waits for an answer. It
 /// announces less.
 const PERSISTENT_TIMEOUT: Duration = Duration::from_secs(4);
@@ -155,6 +158,29 @@
         }
     }
 
+    /// Runs the caller with the given number, which submits many jobs, two of
+    /// five of them with long tasks, until it has to stop. They take no
+    /// accelerators, so that they leave enough capacity to other jobs.
+    pub fn run_long_caller(&self, client: &Client, seed: u64, number: u64) {
+        let mut rng = StdRng::seed_from_u64(seed ^ (number << 32));
+        for id in (number + 1) << 32.. {
+            if self.stopped.load(Ordering::Relaxed) {
+                return;
+            }
+            let count = rng.random_range(1..3);
+            let ms = if rng.random_bool(0.4) {
+                rng.random_range(3000..9000)
+            } else {
+                rng.random_range(200..1500)
+            };
+            let body = job(count, 0, ms, false);
+            self.records().jobs.insert(id, JobRecord::default());
+            let answer = client.submit(self.random_entry(&mut rng), id, &body);
+            self.records().observe_answer(id, answer.status);
+            thread::sleep(Duration::from_millis(rng.random_range(100..300)));
+        }
+    }
+
     /// Runs a caller that calls one entry only, on one connection for as long
     /// as the entry's process keeps it open, also while the entry drains.
     pub fn run_persistent_caller(
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -40,6 +40,20 @@
     match target {
         Target::Entry(i) => &mut site.entries[i],
         Target::Agent(i) => &mut site.agents[i],
+        Target::Coordinator => {
+            let coordinator = site.coordinator().unwrap_or(0);
+            &mut site.entries[coordinator]
+        }
+    }
+}
+
+/// Replaces the coordinator among the targets of a fault by the entry that
+/// coordinates now, so that the fault ends where it has begun.
+pub fn resolve_targets(site: &Site, fault: &mut Fault) {
+    for target in &mut fault.targets {
+        if *target == Target::Coordinator {
+            *target = Target::Entry(site.coordinator().unwrap_or(0));
+        }
     }
 }
 
@@ -241,5 +255,6 @@
     match target {
         Target::Entry(i) => site.restart_entry(i),
         Target::Agent(i) => site.restart_agent(i),
+        Target::Coordinator => Ok(()),
     }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -23,6 +23,7 @@
 mod faults;
 mod http;
 mod plan;
+mod restarts;
 mod round;
 mod signals;
 mod writer;
@@ -40,8 +41,9 @@
   --first S        first seed [default: 1]
   --minutes M      run random seeds for M minutes instead
   --faults F       basic, writer (of status reports and records that are not
-                   the site's), signals (in series that overlap), or all
-                   [default: basic]
+                   the site's), signals (in series that overlap), restarts
+                   (of upstreams under their old ids, with calls that reach
+                   the next incarnation), or all [default: basic]
   --regressions    first run the seeds that have failed before, each with its
                    own faults
   --processes P    processes of a site [default: 6 to 12, by the seed]
@@ -221,6 +223,7 @@
         }
         Ok(report) => {
             println!("seed {round}: BROKEN, logs in {}", report.logs);
+            println!("  {}", report.summary);
             for line in report.plan.iter().chain(&report.violations) {
                 println!("  {line}");
             }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -5,7 +5,10 @@
 use displaydoc::Display;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use crate::signals::SignalSeries;
+use crate::{
+    restarts::{RestartSeries, Restarts},
+    signals::SignalSeries,
+};
 
 /// The period of a round in which faults begin.
 pub const FAULT_PHASE: Duration = Duration::from_secs(7);
@@ -29,6 +32,8 @@
     Writer,
     /// signals
     Signals,
+    /// restarts
+    Restarts,
     /// all
     All,
 }
@@ -37,9 +42,14 @@
     /// Parses the name of a profile.
     #[must_use]
     pub fn parse(name: &str) -> Option<Self> {
-        let mut all =
-            [Self::Basic, Self::Writer, Self::Signals, Self::All].into_iter();
-        all.find(|profile| profile.to_string() == name)
+        let all = [
+            Self::Basic,
+            Self::Writer,
+            Self::Signals,
+            Self::Restarts,
+            Self::All,
+        ];
+        all.into_iter().find(|p| p.to_string() == name)
     }
 
     fn includes(self, part: Self) -> bool {
@@ -64,6 +74,8 @@
     Entry(usize),
     /// The agent with this index.
     Agent(usize),
+    /// The entry that is the coordinator when the fault begins.
+    Coordinator,
 }
 
 /// A fault of a process, of its connections, of the store or of an upstream.
@@ -184,6 +196,8 @@
     pub faults: Vec<Fault>,
     /// The series of signals, which may overlap.
     pub series: Vec<SignalSeries>,
+    /// The series of restarts of upstreams, which may overlap.
+    pub restarts: Vec<RestartSeries>,
     /// Times at which the store drops its history and expires all leases.
     pub store_resets: Vec<Duration>,
     /// Times at which the configuration changes.
@@ -219,6 +233,12 @@
                 .extend(series.configuration_changes);
             plan.configuration_changes.sort_unstable();
         }
+        if profile.includes(Profile::Restarts) {
+            let restarts = Restarts::random(seed, plan.agents);
+            plan.restarts = restarts.series;
+            plan.faults.extend(restarts.disturbances);
+            plan.faults.sort_by_key(|fault| fault.at);
+        }
         plan
     }
 
@@ -228,6 +248,7 @@
         let mut lines: Vec<String> =
             self.faults.iter().map(Fault::to_string).collect();
         lines.extend(self.series.iter().map(SignalSeries::to_string));
+        lines.extend(self.restarts.iter().map(RestartSeries::to_string));
         let events = [
             ("the store is reset", &self.store_resets),
             ("the configuration changes", &self.configuration_changes),
@@ -263,6 +284,7 @@
             agents,
             faults,
             series: Vec::new(),
+            restarts: Vec::new(),
             store_resets,
             configuration_changes,
         }
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -2,7 +2,7 @@
 //! injected, and checks the outcome.
 
 use std::{
-    io,
+    fs, io,
     path::Path,
     sync::atomic::Ordering,
     thread,
@@ -12,9 +12,10 @@
 use figrill_standin::platform::site::{API_KEY, Site, configuration};
 
 use crate::{
-    callers::{CALLERS, CallerState, Observation},
+    callers::{CALLERS, CallerState, LONG_CALLERS, Observation},
     checks, faults,
-    plan::{FAULT_PHASE, Fault, FaultKind, Plan, Profile, Size, Target},
+    plan::{FAULT_PHASE, FaultKind, Plan, Profile, Size, Target},
+    restarts::carried_out_later,
     signals::Step,
     writer,
 };
@@ -32,9 +33,11 @@
 }
 
 /// An action at a planned time of the round.
-enum Action<'a> {
-    BeginFault(&'a Fault),
-    EndFault(&'a Fault),
+enum Action {
+    /// Begins the fault with this index in the plan.
+    BeginFault(usize),
+    /// Ends the fault with this index in the plan.
+    EndFault(usize),
     Signal(Target, Step),
     ResetStore,
     Configure(u64),
@@ -68,6 +71,14 @@
                 callers.run_persistent_caller(*entry, seed, number);
             });
         }
+        if !plan.restarts.is_empty() {
+            for number in LONG_CALLERS {
+                let (callers, client) = (&callers, &client);
+                scope.spawn(move || {
+                    callers.run_long_caller(client, seed, number);
+                });
+            }
+        }
         let result = run_plan(&mut site, &plan);
         callers.stopped.store(true, Ordering::Relaxed);
         result
@@ -96,17 +107,20 @@
         .count();
     let logs = site.dir.display().to_string();
     if !violations.is_empty() {
+        let trace = site.workers.pool().trace.join("\n");
+        fs::write(site.dir.join("upstreams.log"), trace)?;
         site.keep_logs();
     }
     Ok(Report {
         summary: format!(
             "{} entries, {} agents, {} faults, {} jobs, {accepted} accepted, \
-             {refused} refused at least once, {} calls cut",
+             {refused} refused at least once, {} calls cut, {}",
             plan.entries,
             plan.agents,
-            plan.faults.len() + plan.series.len(),
+            plan.faults.len() + plan.series.len() + plan.restarts.len(),
             records.jobs.len(),
             records.cut_calls,
+            carried_out_later(&site.workers),
         ),
         plan: plan.lines(),
         violations,
@@ -114,11 +128,30 @@
     })
 }
 
+/// Plays the restarts of upstreams beside the rest of the plan, so that
+/// neither delays the other.
 fn run_plan(site: &mut Site, plan: &Plan) -> io::Result<()> {
-    let mut actions: Vec<(Duration, Action<'_>)> = Vec::new();
-    for fault in &plan.faults {
-        actions.push((fault.at, Action::BeginFault(fault)));
-        actions.push((fault.at + fault.duration, Action::EndFault(fault)));
+    let start = Instant::now();
+    thread::scope(|scope| {
+        for series in &plan.restarts {
+            let name = site.agents[series.agent].name.clone();
+            let workers = site.workers.clone();
+            scope.spawn(move || series.play(&workers, &name, start));
+        }
+        run_actions(site, plan, start)
+    })
+}
+
+fn run_actions(
+    site: &mut Site,
+    plan: &Plan,
+    start: Instant,
+) -> io::Result<()> {
+    let mut planned = plan.faults.clone();
+    let mut actions: Vec<(Duration, Action)> = Vec::new();
+    for (i, fault) in planned.iter().enumerate() {
+        actions.push((fault.at, Action::BeginFault(i)));
+        actions.push((fault.at + fault.duration, Action::EndFault(i)));
     }
     for series in &plan.series {
         let steps = series.steps.iter();
@@ -136,12 +169,14 @@
         changes.map(|(at, version)| (*at, Action::Configure(version))),
     );
     actions.sort_by_key(|(at, _)| *at);
-    let start = Instant::now();
     for (at, action) in actions {
         thread::sleep(at.saturating_sub(start.elapsed()));
         match action {
-            Action::BeginFault(fault) => faults::begin(site, fault)?,
-            Action::EndFault(fault) => faults::end(site, fault)?,
+            Action::BeginFault(i) => {
+                faults::resolve_targets(site, &mut planned[i]);
+                faults::begin(site, &planned[i])?;
+            }
+            Action::EndFault(i) => faults::end(site, &planned[i])?,
             Action::Signal(target, step) => {
                 faults::signal(site, target, step)?;
             }
