--- a/crates/standin/src/platform/workers/delays.rs
+++ b/crates/standin/src/platform/workers/delays.rs
@@ -186,6 +186,9 @@
         let Some(kind) = CallKind::of(&call.path, body) else {
             return false;
         };
+        if !self.lock_delays().active.contains_key(name) {
+            return false;
+        }
         let pool = self.pool();
         let born_ms =
             pool.nodes.get(name).map(|n| n.upstream.incarnation.born_ms);
