--- a/soak/src/restarts.rs
+++ b/soak/src/restarts.rs
@@ -4,11 +4,12 @@
 //!
 //! What is left out: a call that is held up for more than about 1.2 s reaches
 //! only an incarnation that had a chance to be in touch with its agent for
-//! [`CONTACT_MS`], and none is held up for more than 2.5 s. A call names only
-//! the id of its upstream, so an incarnation that nobody has called yet takes
-//! any call, however old. A scheduler that had to rule that out could never
-//! place a task elsewhere whose upstream is cut off after a restart. It waits
-//! for 2.5 s and the maximum lease.
+//! [`CONTACT_MS`], though the coordinator may be paused meanwhile, and no call
+//! is held up for more than 2.5 s. A call names only the id of its upstream, so
+//! an incarnation that nobody has called yet takes any call, however old. A
+//! scheduler that had to rule that out could never place a task elsewhere whose
+//! upstream is cut off after a restart. It waits for 2.5 s and the maximum
+//! lease.
 
 use std::{
     fmt,
