--- a/soak/src/restarts.rs
+++ b/soak/src/restarts.rs
@@ -8,7 +8,7 @@
 //! is held up for more than 2.5 s. A call names only the id of its upstream, so
 //! an incarnation that nobody has called yet takes any call, however old. A
 //! scheduler that had to rule that out could never place a task elsewhere whose
-//! upstream is cut off after a restart. It waits for 2.5 s and the maximum
+//! upstream is cut off after a restart. It waits for 1.5 s and the maximum
 //! lease.
 
 use std::{
