--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -41,7 +41,7 @@
 pub mod schedule;
 
 use crate::learn::{Estimate, RunTimeEstimator};
-use cell::{CapacityView, Cell};
+use cell::Cell;
 use guarantee::{Guarantees, Shortfall};
 use health::Health;
 use job_state::{JobState, Phase};
@@ -476,18 +476,8 @@
     /// are in one rack. Together they show how fragmented the cell is.
     #[must_use]
     pub fn largest_block(&self) -> (u32, u32) {
-        let nodes = self.cell.nodes();
-        let racks =
-            self.cell.groups(figrill_state::job::Adjacency::Rack).iter();
-        let largest = racks
-            .map(|rack| {
-                let capacities = rack
-                    .iter()
-                    .map(|i| nodes[*i].remaining(CapacityView::Free));
-                capacities.map(|capacity| capacity.accelerators).sum()
-            })
-            .max();
-        (self.cell.free_accelerators(), largest.unwrap_or(0))
+        let largest = self.cell.largest_free_rack();
+        (self.cell.free_accelerators(), largest)
     }
 
     /// Ends a job of which no attempt has run under this coordinator, with the
--- a/crates/coordination/src/coordinator/cell.rs
+++ b/crates/coordination/src/coordinator/cell.rs
@@ -257,6 +257,19 @@
     }
 
     /// Returns the number of free accelerators on workers that may be given
+    /// Returns the most free accelerators that are in one rack.
+    pub(super) fn largest_free_rack(&self) -> u32 {
+        let free = |i: &usize| {
+            let capacity = self.nodes[*i].remaining(CapacityView::Free);
+            capacity.accelerators
+        };
+        let racks = self.groups(Adjacency::Rack).iter();
+        racks
+            .map(|rack| rack.iter().map(free).sum())
+            .max()
+            .unwrap_or(0)
+    }
+
     /// work.
     #[must_use]
     pub fn free_accelerators(&self) -> u32 {
--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -484,25 +484,6 @@
         self.evict_outcomes(now);
     }
 
-    /// Evicts outcomes that are older than [`OUTCOME_RETENTION`], and the
-    /// oldest ones also before that while more than half of
-    /// [`MAX_BUFFERED_BYTES`] is in use, so that new requests can be buffered.
-    fn evict_outcomes(&mut self, now: Duration) {
-        while let Some(id) = self.ended_jobs.front().copied() {
-            let expired = self
-                .jobs
-                .get(&id)
-                .is_none_or(|t| now >= t.ended_at + OUTCOME_RETENTION);
-            if !expired && self.buffered_bytes <= MAX_BUFFERED_BYTES / 2 {
-                return;
-            }
-            self.ended_jobs.pop_front();
-            if let Some(tracked) = self.jobs.remove(&id) {
-                self.buffered_bytes -= tracked.bytes;
-            }
-        }
-    }
-
     fn drain(&mut self, now: Duration) {
         self.draining = true;
         self.answer_due_calls(now);
--- a/crates/coordination/src/entry/records.rs
+++ b/crates/coordination/src/entry/records.rs
@@ -14,7 +14,10 @@
 use crate::message::Dispatched;
 
 use super::track::{Durability, TrackedJob, Wait};
-use super::{Action, Entry, MAX_DELEGATED_JOBS, REREAD_DELAY, RecordRead};
+use super::{
+    Action, Entry, MAX_BUFFERED_BYTES, MAX_DELEGATED_JOBS, OUTCOME_RETENTION,
+    REREAD_DELAY, RecordRead,
+};
 
 impl Entry {
     /// Handles the result of writing a job's record. If the store did not
@@ -343,4 +346,23 @@
         self.jobs.insert(id, tracked);
         self.actions.push(Action::Read { job: id });
     }
+
+    /// Evicts outcomes that are older than [`OUTCOME_RETENTION`], and the
+    /// oldest ones also before that while more than half of
+    /// [`MAX_BUFFERED_BYTES`] is in use, so that new requests can be buffered.
+    pub(super) fn evict_outcomes(&mut self, now: Duration) {
+        while let Some(id) = self.ended_jobs.front().copied() {
+            let expired = self
+                .jobs
+                .get(&id)
+                .is_none_or(|t| now >= t.ended_at + OUTCOME_RETENTION);
+            if !expired && self.buffered_bytes <= MAX_BUFFERED_BYTES / 2 {
+                return;
+            }
+            self.ended_jobs.pop_front();
+            if let Some(tracked) = self.jobs.remove(&id) {
+                self.buffered_bytes -= tracked.bytes;
+            }
+        }
+    }
 }
--- a/crates/coordination/tests/ended_incarnations.rs
+++ b/crates/coordination/tests/ended_incarnations.rs
@@ -170,6 +170,19 @@
         });
     }
 
+    /// Reports that `upstream` has acknowledged the stop of run 1.
+    fn report_stop(&mut self, upstream: &UpstreamState, clock_ms: u64) {
+        self.report(Report {
+            upstream: Some(upstream.clone()),
+            stop_results: vec![StopResult {
+                task: TASK,
+                run: 1,
+                clock_ms,
+            }],
+            ..Report::default()
+        });
+    }
+
     fn started_runs(&self) -> Vec<u32> {
         let starts = self.sent.iter().filter_map(|m| match m {
             ToAgent::Start { start, .. } => Some(start.run),
@@ -219,16 +232,7 @@
     fixture.run(PROMPT);
     assert_eq!(fixture.stops_on(&second.incarnation), [1]);
     assert_eq!(fixture.started_runs(), [1]);
-    fixture.report(Report {
-        token: TOKEN,
-        upstream: Some(second.clone()),
-        stop_results: vec![StopResult {
-            task: TASK,
-            run: 1,
-            clock_ms: 400,
-        }],
-        ..Report::default()
-    });
+    fixture.report_stop(&second, 400);
     fixture.report_snapshot(&second, 500);
     fixture.run(PROMPT);
     assert_eq!(fixture.started_runs(), [1, 2]);
@@ -250,15 +254,7 @@
         ..Report::default()
     });
     fixture.run(PROMPT);
-    fixture.report(Report {
-        upstream: Some(second.clone()),
-        stop_results: vec![StopResult {
-            task: TASK,
-            run: 1,
-            clock_ms: 400,
-        }],
-        ..Report::default()
-    });
+    fixture.report_stop(&second, 400);
     fixture.report_snapshot(&second, 500);
     fixture.run(PROMPT);
     assert_eq!(fixture.started_runs(), [1, 2]);
--- a/crates/coordination/tests/fleet/former_incarnations.rs
+++ b/crates/coordination/tests/fleet/former_incarnations.rs
@@ -78,15 +78,14 @@
             sim.submit(job(1, 1, 1, 8, 30_000));
             let case = format!("{take_over:?}, {late_ms} ms late");
             assert!(sim.run_until(500, |s| !s.start_orders.is_empty()));
-            let order = sim.start_orders[0].1.clone();
-            let agent = order.rsplit(' ').next().unwrap_or_default();
+            let agent = sim.agent_of_first_order();
             if take_over == TakeOver::BeforeRestart {
                 sim.take_over();
             }
             // The upstream is silent from then on, but a call is on its way.
             let now = sim.now_ms;
-            sim.pool.restart_upstream(now, agent);
-            sim.set_reachable(agent, false);
+            sim.pool.restart_upstream(now, &agent);
+            sim.set_reachable(&agent, false);
             if take_over == TakeOver::AfterRestart {
                 sim.run(50);
                 sim.take_over();
@@ -96,7 +95,7 @@
                 "{case}\n{}",
                 sim.pool.trace.join("\n")
             );
-            sim.set_reachable(agent, true);
+            sim.set_reachable(&agent, true);
             sim.run(3000);
             assert_no_violations(&sim, &case);
         }
@@ -122,7 +121,7 @@
             }
             let now = sim.now_ms;
             for agent in &agents {
-                sim.pool.restart_upstream(now, agent);
+                sim.pool.restart_upstream(now, &agent);
             }
             sim.run(600);
             sim.submit(job(1, 1, 1, 8, 30_000));
--- a/crates/coordination/tests/fleet/given_up_starts.rs
+++ b/crates/coordination/tests/fleet/given_up_starts.rs
@@ -15,12 +15,11 @@
             sim.held_up_starts_ms = vec![late_ms; 3];
             sim.submit(job(1, 1, 1, 8, 6000));
             assert!(sim.run_until(500, |s| s.start_orders.len() == 1));
-            let order = sim.start_orders[0].1.clone();
-            let agent = order.rsplit(' ').next().unwrap_or_default();
+            let agent = sim.agent_of_first_order();
             assert!(sim.run_until(3000, |s| count_events(s, "start") == 1));
             sim.run(uptime_ms);
             let now = sim.now_ms;
-            sim.pool.restart_upstream(now, agent);
+            sim.pool.restart_upstream(now, &agent);
             let case = format!("{late_ms} ms late, {uptime_ms} ms");
             assert!(sim.run_until(20_000, Sim::all_ended), "{case}");
             assert_no_violations(&sim, &case);
@@ -68,7 +67,7 @@
             sim.run(210);
             let now = sim.now_ms;
             for agent in &agents {
-                sim.pool.restart_upstream(now, agent);
+                sim.pool.restart_upstream(now, &agent);
                 sim.set_reachable(agent, false);
             }
             sim.run(2600);
@@ -115,12 +114,11 @@
             sim.held_up_starts_ms = vec![late_ms; 3];
             sim.submit(job(1, 1, 1, 8, 6000));
             assert!(sim.run_until(500, |s| s.start_orders.len() == 1));
-            let order = sim.start_orders[0].1.clone();
-            let agent = order.rsplit(' ').next().unwrap_or_default();
+            let agent = sim.agent_of_first_order();
             sim.take_over();
             sim.run(uptime_ms);
             let now = sim.now_ms;
-            sim.pool.restart_upstream(now, agent);
+            sim.pool.restart_upstream(now, &agent);
             let case = format!("{late_ms} ms late, {uptime_ms} ms");
             assert!(sim.run_until(20_000, Sim::all_ended), "{case}");
             assert_no_violations(&sim, &case);
--- a/crates/coordination/tests/fleet/restarts.rs
+++ b/crates/coordination/tests/fleet/restarts.rs
@@ -79,8 +79,7 @@
     sim.submit(job(1, 1, 1, 8, 300));
     assert!(sim.run_until(200, |s| s.start_orders.len() == 1));
     sim.faults.late_starts = 0;
-    let (_, order) = sim.start_orders[0].clone();
-    let agent = order.rsplit(' ').next().unwrap_or_default();
+    let agent = &sim.agent_of_first_order();
     let earlier = sim.pool.nodes[agent].upstream.clone();
     let now = sim.now_ms;
     sim.pool.restart_upstream(now, agent);
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -154,6 +154,12 @@
         }
     }
 
+    /// Returns the agent to which the first start was sent.
+    pub fn agent_of_first_order(&self) -> String {
+        let (_, order) = &self.start_orders[0];
+        order.rsplit(' ').next().unwrap_or_default().to_owned()
+    }
+
     /// Returns the agent whose upstream started a run last.
     pub fn agent_of_last_start(&self) -> String {
         let starts = self.pool.trace.iter().rev();
