--- a/crates/coordination/tests/fleet/former_incarnations.rs
+++ b/crates/coordination/tests/fleet/former_incarnations.rs
@@ -121,7 +121,7 @@
             }
             let now = sim.now_ms;
             for agent in &agents {
-                sim.pool.restart_upstream(now, &agent);
+                sim.pool.restart_upstream(now, agent);
             }
             sim.run(600);
             sim.submit(job(1, 1, 1, 8, 30_000));
--- a/crates/coordination/tests/fleet/given_up_starts.rs
+++ b/crates/coordination/tests/fleet/given_up_starts.rs
@@ -67,7 +67,7 @@
             sim.run(210);
             let now = sim.now_ms;
             for agent in &agents {
-                sim.pool.restart_upstream(now, &agent);
+                sim.pool.restart_upstream(now, agent);
                 sim.set_reachable(agent, false);
             }
             sim.run(2600);
