--- a/crates/standin/tests/delays.rs
+++ b/crates/standin/tests/delays.rs
@@ -156,7 +156,7 @@
     assert_eq!(starts(&workers), 0);
     workers.start_after_silence(AGENT, false);
     assert_eq!(starts(&workers), 1);
-    // The new life is cut off.
+    // The new incarnation is cut off.
     assert_timeout(hold(&workers, 0));
 }
 
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -19,6 +19,6 @@
 mod promises;
 mod settings;
 mod upstream_ends;
-mod upstream_former_life;
+mod upstream_former_incarnation;
 mod upstream_identity;
 mod upstream_overlaps;
--- a/tests/upstream_former_life.rs
+++ b/tests/upstream_former_incarnation.rs
@@ -1,6 +1,6 @@
-//! Tests of calls that were meant for a former life of an upstream and are
-//! carried out by its next life under the same id. A task must not run twice
-//! at a time because of them.
+//! Tests of calls that were meant for a former incarnation of an upstream and
+//! are carried out by its next incarnation under the same id. A task must not
+//! run twice at a time because of them.
 
 use std::{
     fs, thread,
@@ -37,16 +37,16 @@
 /// the coordinator was lost.
 const LATE_ATTEMPT_LIMIT: Duration = Duration::from_secs(25);
 
-/// The age of a former life at which the deadlines of its starts are still
-/// ahead on the clock of a next life that has just registered.
+/// The age of a former incarnation at which the deadlines of its starts are
+/// still ahead on the clock of a next incarnation that has just registered.
 const YOUNG_AGE_MS: u64 = 3000;
 
-/// The age of a former life at which the deadlines of all its calls are
-/// shortened to the maximum lease by a next life.
+/// The age of a former incarnation at which the deadlines of all its calls are
+/// shortened to the maximum lease by a next incarnation.
 const OLD_AGE_MS: u64 = 10_000;
 
-/// The age of a former life at which the deadline of its last start is beyond
-/// the lease of a run that a next life begins.
+/// The age of a former incarnation at which the deadline of its last start is
+/// beyond the lease of a run that a next incarnation begins.
 const OLDER_AGE_MS: u64 = 13_000;
 
 /// How long an upstream answers nothing while it restarts silently.
@@ -62,7 +62,7 @@
 /// The id of the first job whose task must not run twice.
 const LONG_JOB: u64 = 0x200;
 
-/// The id of the job that only the former life was given.
+/// The id of the job that only the former incarnation was given.
 const FORMER_JOB: u64 = 0x300;
 
 /// Returns the names of all agents.
@@ -106,18 +106,19 @@
     restarted.expect("the upstream starts");
 }
 
-/// Waits until the agent of an upstream has registered its present life.
+/// Waits until the agent of an upstream has registered its present
+/// incarnation.
 fn wait_until_registered(site: &Site, name: &str) {
     let log = site.dir.join(format!("{name}.log"));
     let born = format!("born={}", born_ms(site, name));
-    wait_for("the next life to be registered", WAIT_LIMIT, || {
+    wait_for("the next incarnation to be registered", WAIT_LIMIT, || {
         let text = fs::read_to_string(&log).unwrap_or_default();
         let is_up = |l: &str| l.contains("UpstreamUp") && l.contains(&born);
         text.lines().any(is_up).then_some(())
     });
 }
 
-/// Waits until the coordinator orders starts for the present life of an
+/// Waits until the coordinator orders starts for the present incarnation of an
 /// upstream.
 fn wait_until_known(site: &Site, name: &str) {
     wait_until_registered(site, name);
@@ -203,11 +204,11 @@
     Never,
     /// Early enough for its successor to take over before the restart.
     BeforeRestart,
-    /// At the restart, so that its successor only knows the next life.
+    /// At the restart, so that its successor only knows the next incarnation.
     AtRestart,
 }
 
-/// When the next life carries out the call that was held up.
+/// When the next incarnation carries out the call that was held up.
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum Arrival {
     AtStart,
@@ -262,10 +263,11 @@
     assert_not_twice(&site, entry, &[LONG_JOB], LATE_ATTEMPT_LIMIT);
 }
 
-// Guards against runs that a first attempt begins in the next life while the
-// task is started elsewhere, because the second attempt was answered.
+// Guards against runs that a first attempt begins in the next incarnation
+// while the task is started elsewhere, because the second attempt was
+// answered.
 #[test]
-fn a_late_attempt_at_the_start_of_the_next_life_is_no_second_run() {
+fn a_late_attempt_at_the_start_of_the_next_incarnation_is_no_second_run() {
     check_late_attempt(Change::Never, Arrival::AtStart);
 }
 
@@ -288,8 +290,8 @@
     check_late_attempt(Change::BeforeRestart, Arrival::AfterRegistration);
 }
 
-// Guards against a coordinator that never knew the life that its predecessor
-// has placed the task on.
+// Guards against a coordinator that never knew the incarnation that its
+// predecessor has placed the task on.
 #[test]
 fn a_late_attempt_during_a_change_of_the_coordinator_is_no_second_run() {
     check_late_attempt(Change::AtRestart, Arrival::AtStart);
@@ -301,8 +303,9 @@
     check_late_attempt(Change::AtRestart, Arrival::AfterRegistration);
 }
 
-/// Gives the next life of an upstream a long task and cuts it off. Then it
-/// carries out a call for its former life, which `delay_call` has held up.
+/// Gives the next incarnation of an upstream a long task and cuts it off. Then
+/// it carries out a call for its former incarnation, which `delay_call` has
+/// held up.
 fn check_lease(delay_call: fn(&Site, &str)) {
     let site = start_site(1, 2);
     wait_for_age(&site, OLD_AGE_MS);
@@ -340,7 +343,7 @@
 }
 
 // Guards against a task that is started elsewhere once the lease of the last
-// grant is over, though a hold for the former life has set a later end.
+// grant is over, though a hold for the former incarnation has set a later end.
 #[test]
 fn a_late_hold_extends_no_run_beyond_its_assumed_lease() {
     check_lease(delay_hold);
@@ -355,15 +358,15 @@
 /// A start that is ordered around the silent restart of its upstream.
 #[derive(Default)]
 struct SilentRestart {
-    /// Whether the order follows the end of the former life.
+    /// Whether the order follows the end of the former incarnation.
     ordered_after_end: bool,
-    /// Whether the next life is registered before it is cut off.
+    /// Whether the next incarnation is registered before it is cut off.
     registered: bool,
 }
 
-/// Orders a start that is carried out by the next life of a silently
-/// restarting upstream as its first call, and cuts the next life off. Returns
-/// the name of its agent, which is one of `free`.
+/// Orders a start that is carried out by the next incarnation of a silently
+/// restarting upstream as its first call, and cuts the next incarnation off.
+/// Returns the name of its agent, which is one of `free`.
 fn order_around_silent_restart(
     site: &Site,
     case: &SilentRestart,
@@ -402,7 +405,7 @@
 }
 
 // Guards against a task that is started elsewhere once the lease of the former
-// life is over, though the next life has begun its run later.
+// incarnation is over, though the next incarnation has begun its run later.
 #[test]
 fn a_start_around_a_silent_restart_is_no_second_run() {
     let cases = [
@@ -428,7 +431,7 @@
 }
 
 // Guards against a task that is done and starts again, because its upstream
-// has forgotten its end by an acknowledgement for the former life.
+// has forgotten its end by an acknowledgement for the former incarnation.
 #[test]
 fn a_late_acknowledgement_makes_no_task_run_again() {
     let site = start_site(1, 1);
