Let an agent fence a further incarnation of its upstream itself

Cause: an incarnation under a known id refuses calls for the former one only after it has seen a higher fencing token, and only a coordinator that knows the incarnation gave one.

Fix: the agent, the first to notice an incarnation, raises the token before it registers it if it has used the token for another one, and reports that token; the coordinator commits until its own is as high. An agent that has just started and has no token calls without one: an upstream that answers has seen none, and gets the store's revision plus one. An upstream that refuses a token (409, fence) was fenced by an earlier process of its agent, which raises again.

Failed before: the model now lets late calls reach any incarnation that its agent has called (before: that the coordinator has granted to); without the raise it breaks `a_start_that_is_held_up_begins_no_done_task_while_the_ coordinator_is_paused` and `a_run_that_a_list_lacked_is_not_begun_by_the_next_ incarnation`. With real processes `a_late_attempt_while_the_coordinator_is_ frozen_starts_no_done_task` ("starts after it was done"), `a_late_attempt_at_a_restarted_agent_...` (never registered) and `an_upstream_ that_was_fenced_by_an_earlier_agent_gets_work` (stays queued without the second raise); `an_upstream_that_restarted_often_in_an_outage_...` stays without work if the scheduler ignores the reported token.

Not closed: calls that arrive before the agent's first call (`a_late_acknowledgement_drops_no_end_of_a_late_start`, KNOWN-RED).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,10 +6,9 @@
 //! [`term`], [`coordinator`] and [`agent`] are the state machines and
 //! [`message`] holds what they exchange. In the mode in which all scheduling
 //! state is kept in the platform's store, [`scheduler`], [`entries`],
-//! [`store_path`], [`orders`], [`registration`] and [`campaign`] take their
-//! place. [`learn`]
-//! estimates run times for both, and [`adoption`] tracks the revision of the
-//! settings that a process has in force.
+//! [`store_path`], [`orders`], [`registration`], [`fencing`] and [`campaign`]
+//! take their place. [`learn`] estimates run times for both, and [`adoption`]
+//! tracks the revision of the settings that a process has in force.
 //!
 //! ```
 //! use std::time::Duration;
@@ -26,6 +25,7 @@
 pub mod coordinator;
 pub mod entries;
 pub mod entry;
+pub mod fencing;
 pub mod learn;
 pub mod message;
 pub mod orders;
--- a/crates/coordination/src/registration.rs
+++ b/crates/coordination/src/registration.rs
@@ -254,7 +254,11 @@
             Err(
                 RunnerError::OtherIncarnation | RunnerError::NotListening(_),
             ) => true,
-            Err(RunnerError::Unanswered(_) | RunnerError::Malformed(_)) => {
+            Err(
+                RunnerError::Unanswered(_)
+                | RunnerError::Malformed(_)
+                | RunnerError::Fenced,
+            ) => {
                 let since = *self.silent_since.get_or_insert(now);
                 now >= since + SILENCE_TIMEOUT
             }
@@ -338,7 +342,9 @@
                 let since = *self.refused_since.get_or_insert(now);
                 now >= since + CRASH_TIMEOUT
             }
-            RunnerError::Unanswered(_) | RunnerError::Malformed(_) => {
+            RunnerError::Unanswered(_)
+            | RunnerError::Malformed(_)
+            | RunnerError::Fenced => {
                 self.refused_since = None;
                 self.silent_since.get_or_insert(now);
                 false
--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -280,10 +280,14 @@
         self.send_token(agent);
     }
 
-    /// Sends an agent the fencing token of the orders to its upstream.
+    /// Sends an agent the fencing token of the orders to its upstream, and the
+    /// last incarnation that was given any.
     fn send_token(&mut self, agent: &str) {
+        let worker = self.workers.get(agent);
+        let upstream = worker.and_then(Worker::last_incarnation).cloned();
         let grant = Grant {
             token: self.order_token(agent),
+            upstream: upstream.unwrap_or_default(),
             ..Grant::default()
         };
         self.send(agent, ToAgent::Grant(grant));
--- a/crates/coordination/src/scheduler/fences.rs
+++ b/crates/coordination/src/scheduler/fences.rs
@@ -2,7 +2,9 @@
 //!
 //! A token is the revision of a commit, so it is higher than the coordinator's
 //! own and lower than that of any later coordinator: the key of the next one is
-//! written after the last commit of this one.
+//! written after the last commit of this one. An agent that was the first to
+//! notice an incarnation has called it with a higher token than those before
+//! (see [`crate::fencing`]), and the orders to it get one that is not lower.
 
 use super::{Scheduler, worker::Fence};
 
@@ -23,6 +25,18 @@
         worker.is_none_or(|w| !matches!(w.fence, Fence::Above(_)))
     }
 
+    /// Records the token of an agent's call to its upstream, which answers no
+    /// calls with a lower one.
+    pub(super) fn record_agent_token(&mut self, agent: &str, token: u64) {
+        if token <= self.order_token(agent) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.fence = Fence::Above(token - 1);
+            self.assign_fences();
+        }
+    }
+
     /// Returns whether an upstream waits for a token, which only a commit can
     /// give.
     pub(super) fn awaits_fence(&self) -> bool {
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -49,6 +49,7 @@
     if !scheduler.update_upstream(now, agent, &upstream) {
         return;
     }
+    scheduler.record_agent_token(agent, report.token);
     let Some(snapshot) = report.snapshot else {
         return;
     };
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -105,6 +105,12 @@
         self.upstream.as_ref().map(|u| &u.incarnation)
     }
 
+    /// Returns the last incarnation that was reported in this term, also if it
+    /// has ended.
+    pub(super) fn last_incarnation(&self) -> Option<&Incarnation> {
+        self.last_incarnation.as_ref()
+    }
+
     /// Records another incarnation of the upstream, and that its orders need a
     /// fencing token above `token`, that of the last one, if there was any.
     pub(super) fn replace_incarnation(
--- a/crates/coordination/tests/fleet/former_incarnations.rs
+++ b/crates/coordination/tests/fleet/former_incarnations.rs
@@ -212,3 +212,46 @@
     sim.run(2000);
     assert_no_violations(&sim, "held up until after the end");
 }
+
+// Guards against a done task that begins again on an incarnation that its
+// agent knows and the coordinator, which is paused, does not.
+#[test]
+fn a_start_that_is_held_up_begins_no_done_task_while_the_coordinator_is_paused()
+ {
+    for late_ms in (2200..4000).step_by(50) {
+        let mut sim = Sim::new(1, 1);
+        sim.run(LONG_UPTIME_MS);
+        sim.held_up_starts_ms = vec![late_ms];
+        sim.submit(job(1, 1, 1, 8, 300));
+        let case = format!("{late_ms} ms late");
+        assert!(sim.run_until(3000, Sim::all_ended), "{case}");
+        sim.run(50);
+        sim.paused = true;
+        let now = sim.now_ms;
+        sim.pool.restart_upstream(now, "agent-00");
+        sim.run(3000);
+        assert_no_violations(&sim, &case);
+    }
+}
+
+// Guards against an upstream that refuses all orders, because its agent has
+// raised the fencing token further than the next commit does.
+#[test]
+fn an_upstream_that_restarted_often_in_an_outage_of_the_store_gets_work_again()
+{
+    for restarts in 1..8 {
+        let mut sim = Sim::new(1, 1);
+        sim.run(1000);
+        sim.store_up = false;
+        for _ in 0..restarts {
+            let now = sim.now_ms;
+            sim.pool.restart_upstream(now, "agent-00");
+            sim.run(500);
+        }
+        sim.submit(job(1, 1, 1, 8, 300));
+        sim.store_up = true;
+        let case = format!("{restarts} restarts");
+        assert!(sim.run_until(3000, Sim::all_ended), "{case}");
+        assert_no_violations(&sim, &case);
+    }
+}
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -14,7 +14,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use figrill_coordination::scheduler::message::Grant;
 use figrill_coordination::scheduler::{Commit, Now, Scheduler};
 use figrill_example::pool::{Node, Pool};
 use figrill_state::batch::{Batch, BatchId, Progress};
@@ -101,15 +100,7 @@
         for i in 0..workers {
             let name = format!("agent-{i:02}");
             pool.nodes.insert(name.clone(), Node::new(upstream(i)));
-            agents.insert(
-                name,
-                Agent {
-                    grant: Grant::default(),
-                    registered: None,
-                    next_renewal_ms: 0,
-                    acknowledged: 0,
-                },
-            );
+            agents.insert(name, Agent::default());
         }
         let mut sim = Self {
             now_ms: 0,
--- a/crates/coordination/tests/fleet/sim/agents.rs
+++ b/crates/coordination/tests/fleet/sim/agents.rs
@@ -1,6 +1,7 @@
 //! Agents: the leases that they renew, and what they do on a coordinator's
 //! messages.
 
+use figrill_coordination::fencing::AgentFence;
 use figrill_coordination::orders::start_until_answered;
 use figrill_coordination::scheduler::message::{
     Grant, Report, StartResult, StopResult, ToAgent,
@@ -17,8 +18,11 @@
 /// [`Pool::hold`], in milliseconds.
 const LEASE_RENEWAL_INTERVAL_MS: u64 = 200;
 
+#[derive(Default)]
 pub(super) struct Agent {
     pub(super) grant: Grant,
+    /// The fencing token of calls to the upstream.
+    pub(super) fence: AgentFence,
     /// The incarnation of its upstream that the agent knows.
     pub(super) registered: Option<Incarnation>,
     pub(super) next_renewal_ms: u64,
@@ -26,6 +30,15 @@
     pub(super) acknowledged: u64,
 }
 
+impl Agent {
+    /// Records the fencing token of a coordinator's message.
+    fn record_token(&mut self, token: u64, target: &Incarnation) {
+        let named = Some(target).filter(|i| **i != Incarnation::default());
+        self.fence
+            .record_grant(token, self.registered.as_ref(), named);
+    }
+}
+
 impl Sim {
     /// Handles a coordinator's message at an agent, other than a start. The
     /// message is lost if the agent's upstream cannot be reached.
@@ -45,7 +58,7 @@
             } if upstream == present.incarnation
                 && self.is_registered(name, &upstream) =>
             {
-                self.learn_token(name, token);
+                self.learn_token(name, token, &upstream);
                 self.pool.stop(self.now_ms, name, task, run, token);
                 let clock_ms = self.now_ms - upstream.born_ms;
                 let result = StopResult {
@@ -66,10 +79,12 @@
 
     /// Records the fencing token of an order, which an agent has before it
     /// calls its upstream. The grants of earlier coordinators end with it.
-    fn learn_token(&mut self, name: &str, token: u64) {
-        if let Some(agent) = self.agents.get_mut(name)
-            && token > agent.grant.token
-        {
+    fn learn_token(&mut self, name: &str, token: u64, target: &Incarnation) {
+        let Some(agent) = self.agents.get_mut(name) else {
+            return;
+        };
+        agent.record_token(token, target);
+        if token > agent.grant.token {
             agent.grant = Grant {
                 token,
                 ..Grant::default()
@@ -95,6 +110,7 @@
         if node.is_none_or(|n| n.upstream.draining) {
             return;
         }
+        self.learn_token(name, start.token, target);
         let lost = self.random(1000) < self.faults.lost_answers;
         let answer = if self.is_registered(name, target) {
             self.execute_start(name, target, start)
@@ -129,7 +145,6 @@
         target: &Incarnation,
         start: &StartOrder,
     ) -> StartOutcome {
-        self.learn_token(name, start.token);
         match self.incarnation_called(name, target) {
             Some(called) => self.pool.start(self.now_ms, name, &called, start),
             None => StartOutcome::Refused(Refusal::OtherIncarnation),
@@ -161,8 +176,9 @@
     ) -> bool {
         let node = self.pool.nodes.get(name);
         let present = node.map(|n| &n.upstream.incarnation);
-        let granted = self.agents.get(name).map(|a| &a.grant.upstream);
-        !lateness.needs_known_incarnation() || present == granted
+        let agent = self.agents.get(name);
+        let called = agent.and_then(|a| a.registered.as_ref());
+        !lateness.needs_known_incarnation() || present == called
     }
 
     /// Returns the incarnation that executes a call to `target`.
@@ -190,6 +206,7 @@
         if grant.token < agent.grant.token {
             return;
         }
+        agent.record_token(grant.token, &grant.upstream);
         let same_grant = grant.token == agent.grant.token
             && grant.upstream == agent.grant.upstream;
         let acknowledged = if same_grant {
@@ -236,14 +253,15 @@
             return;
         };
         let incarnation = &upstream.incarnation;
-        let registered = agent.registered.replace(incarnation.clone());
+        let registered = agent.registered.clone();
+        let token = agent.fence.token_for(incarnation);
         let is_current = grant.upstream == *incarnation;
         let last_acknowledged =
             std::mem::replace(&mut agent.acknowledged, grant.acknowledged);
         let acknowledges =
             is_current && grant.acknowledged != last_acknowledged;
         let hold = Hold {
-            token: grant.token,
+            token,
             acknowledged: if acknowledges { grant.acknowledged } else { 0 },
             deadline_ms: grant.deadline_ms.filter(|_| is_current),
             ..Hold::default()
@@ -270,8 +288,17 @@
             return;
         }
         let snapshot = self.execute_hold(name, incarnation, hold);
+        if let Some(agent) = self.agents.get_mut(name) {
+            if snapshot.is_some() {
+                agent.registered = Some(incarnation.clone());
+                agent.fence.raise(token);
+                agent.fence.record_registration(incarnation);
+            } else {
+                agent.fence.raise(token + 1);
+            }
+        }
         let report = Report {
-            token: grant.token,
+            token,
             upstream: Some(upstream),
             snapshot,
             ..Report::default()
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -18,9 +18,9 @@
 
 impl Lateness {
     /// The time within which a call may be executed by any incarnation with the
-    /// id that it names, in milliseconds. Later, only an incarnation that a
-    /// coordinator has worked with executes it: no scheduler can wait for all
-    /// calls that others may have received seconds ago.
+    /// id that it names, in milliseconds. Later, only an incarnation that its
+    /// agent has called executes it: no scheduler can wait for all calls that
+    /// others may have received seconds ago.
     const MAX_UNSEEN_MS: u64 = 1500;
 
     pub(super) const fn needs_known_incarnation(self) -> bool {
--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -13,11 +13,13 @@
 
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use figrill_coordination::{
+    fencing::AgentFence,
     registration::Registration,
     scheduler::message::{Grant, Report, StartResult, ToAgent},
 };
 use figrill_protocol::message::{Heartbeat, Message, Peer, Role};
 use figrill_state::{
+    batch::Incarnation,
     event::{Code, Stamp, Timeline},
     runner::Snapshot,
 };
@@ -37,7 +39,7 @@
 mod orders;
 mod upstream;
 
-use confirm::confirm_upstreams;
+use confirm::{confirm_upstreams, register_unseen_upstream};
 use hold::poll_upstream;
 use orders::execute_order;
 use upstream::handle_call;
@@ -79,6 +81,8 @@
 struct State {
     /// Which incarnation of the upstream this agent works with.
     registration: Registration,
+    /// The fencing token of calls to the upstream.
+    fence: AgentFence,
     /// The last grant, with the highest fencing token that was seen.
     grant: Grant,
     /// The stream to the coordinator with the highest fencing token.
@@ -210,6 +214,8 @@
     serve::spawn("confirm", move || {
         confirm_upstreams(&confirm_cx, &confirm_net);
     })?;
+    let unseen_cx = cx.clone();
+    serve::spawn("unseen", move || register_unseen_upstream(&unseen_cx))?;
     let mut conns: Vec<ConnId> = Vec::new();
     let mut last_heartbeat = Duration::ZERO;
     loop {
@@ -258,11 +264,15 @@
     message: ToAgent,
     orders: &Sender<ToAgent>,
 ) {
-    let token = match &message {
-        ToAgent::Grant(grant) => grant.token,
-        ToAgent::Start { start, .. } => start.token,
-        ToAgent::Stop { token, .. } => *token,
+    let (token, named) = match &message {
+        ToAgent::Grant(grant) => (grant.token, &grant.upstream),
+        ToAgent::Start { start, upstream } => (start.token, upstream),
+        ToAgent::Stop {
+            token, upstream, ..
+        } => (*token, upstream),
     };
+    // A coordinator that knows no incarnation yet names none.
+    let named = Some(named).filter(|i| **i != Incarnation::default());
     {
         let mut state = cx.lock();
         if token < state.grant.token {
@@ -276,6 +286,9 @@
                 ..Grant::default()
             };
         }
+        let registered = state.registration.current().cloned();
+        let registered = registered.as_ref().map(|u| &u.incarnation);
+        state.fence.record_grant(token, registered, named);
         state.coordinator = Some(conn);
         if let ToAgent::Grant(grant) = message {
             // While the upstream is the same, neither the deadline nor the
--- a/crates/node/src/fleet/agent/hold.rs
+++ b/crates/node/src/fleet/agent/hold.rs
@@ -6,15 +6,16 @@
 
 use figrill_coordination::scheduler::message::{Grant, Report};
 use figrill_state::{
-    batch::Incarnation,
+    batch::{Incarnation, keys},
     event::Code,
+    kv::KvError,
     runner::{Hold, RunnerError, Snapshot, UpstreamState},
 };
 use figrill_transport::peer::Net;
 
 use super::{
-    AgentContext, HEARTBEAT_INTERVAL, POLL_INTERVAL, State, report,
-    send_report,
+    super::STORE_TIMEOUT, AgentContext, HEARTBEAT_INTERVAL, POLL_INTERVAL,
+    State, report, send_report,
 };
 
 /// The maximum wait of a hold call for a run to end while runs are active.
@@ -49,7 +50,12 @@
 
 impl Poll {
     /// Returns the next hold call to an incarnation.
-    fn next_hold(&mut self, incarnation: &Incarnation, grant: &Grant) -> Hold {
+    fn next_hold(
+        &mut self,
+        incarnation: &Incarnation,
+        grant: &Grant,
+        token: u64,
+    ) -> Hold {
         let is_polled = self.incarnation.as_ref() == Some(incarnation);
         if !is_polled {
             self.acknowledged = 0;
@@ -61,7 +67,7 @@
         let return_at_once =
             acknowledge || !is_current || grant.deadline_ms.is_none();
         Hold {
-            token: grant.token,
+            token,
             acknowledged: if acknowledge { grant.acknowledged } else { 0 },
             deadline_ms: grant.deadline_ms.filter(|_| is_current),
             wait: if return_at_once {
@@ -92,22 +98,23 @@
 pub(super) fn poll_upstream(cx: &AgentContext, net: &Net) {
     let mut poll = Poll::default();
     loop {
-        let (upstream, grant) = {
+        let (upstream, grant, token) = {
             let state = cx.lock();
-            (state.registration.current().cloned(), state.grant.clone())
+            let upstream = state.registration.current().cloned();
+            (upstream, state.grant.clone(), state.fence.token())
         };
         let Some(upstream) = upstream.filter(|_| grant.token > 0) else {
             report(cx, net, None, Vec::new());
             wait_for_change(cx, HEARTBEAT_INTERVAL);
             continue;
         };
-        let hold = poll.next_hold(&upstream.incarnation, &grant);
+        let hold = poll.next_hold(&upstream.incarnation, &grant, token);
         match hold_incarnation(cx, &upstream, hold) {
             Ok(snapshot) => {
                 cx.lock().registration.record_answer();
                 poll.record_answer(upstream.incarnation, hold, &snapshot);
                 let last_end = snapshot.ended.last().map_or(0, |e| e.number);
-                send_snapshot(cx, net, grant.token, snapshot);
+                send_snapshot(cx, net, token, snapshot);
                 wait_for_coordinator(cx, last_end, &grant);
             }
             Err(e) => {
@@ -121,13 +128,18 @@
 }
 
 /// Makes a hold call. An answer of another incarnation with the same id counts
-/// as a failure.
+/// as a failure. If the upstream refuses the fencing token, later calls have a
+/// higher one.
 pub(super) fn hold_incarnation(
     cx: &AgentContext,
     upstream: &UpstreamState,
     hold: Hold,
 ) -> Result<Snapshot, RunnerError> {
-    let snapshot = cx.config.runner.hold(upstream, hold)?;
+    let result = cx.config.runner.hold(upstream, hold);
+    if matches!(result, Err(RunnerError::Fenced)) {
+        raise_refused_token(cx, hold.token);
+    }
+    let snapshot = result?;
     if snapshot.born_ms == upstream.incarnation.born_ms {
         Ok(snapshot)
     } else {
@@ -135,6 +147,27 @@
     }
 }
 
+/// Raises the fencing token after an upstream has refused a call with `token`:
+/// an earlier process of this agent has raised it, as a rule not above the
+/// revision of the store by more than one.
+fn raise_refused_token(cx: &AgentContext, token: u64) {
+    if token == 0 {
+        return;
+    }
+    let revision = store_revision(cx).unwrap_or_else(|e| {
+        log::debug!("failed to read the store's revision: {e}");
+        0
+    });
+    cx.lock().fence.raise(token.max(revision) + 1);
+}
+
+/// Returns the present revision of the store.
+pub(super) fn store_revision(cx: &AgentContext) -> Result<u64, KvError> {
+    let key = keys::agent(&cx.config.deployment.name);
+    let listing = cx.config.kv.list(&key, STORE_TIMEOUT)?;
+    Ok(listing.revision)
+}
+
 /// Ends the registration of an upstream if a failed call shows that it has
 /// ended.
 fn record_failed_call(
--- a/crates/node/src/fleet/agent/orders.rs
+++ b/crates/node/src/fleet/agent/orders.rs
@@ -76,7 +76,7 @@
         (
             registration.current().cloned(),
             registration.accepts_runs(),
-            state.grant.token,
+            state.fence.token(),
         )
     };
     let refused = StartOutcome::Refused;
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -91,6 +91,7 @@
     HeartbeatRefused 1508 Warn "an agent refused a heartbeat, which changed nothing",
     EndsIncomplete 1509 Warn "an upstream has more ended runs than it lists at a time, so runs that it does not list are not given up",
     EndsComplete 1510 Info "an upstream lists all its ended runs again",
+    UpstreamFenced 1511 Info "an agent raised the fencing token of its upstream, which now refuses calls that were meant for a former incarnation",
     JobAccepted 2001 Debug "an entry accepted a job",
     JobRefused 2002 Info "an entry or the coordinator refused a job; it was not run",
     JobQueued 2003 Debug "the coordinator queued a job",
--- a/crates/state/src/runner.rs
+++ b/crates/state/src/runner.rs
@@ -202,6 +202,8 @@
     Malformed(String),
     /// another incarnation of the upstream answered
     OtherIncarnation,
+    /// the upstream has seen a higher fencing token
+    Fenced,
 }
 
 impl std::error::Error for RunnerError {}
--- a/tests/upstream_former_incarnation.rs
+++ b/tests/upstream_former_incarnation.rs
@@ -459,3 +459,66 @@
     assert_not_twice(&site, 0, &[LONG_JOB], 2 * WAIT_LIMIT);
     assert_eq!(starts(&site, LONG_JOB).len(), 1);
 }
+
+/// Returns a site of one upstream that has done the task of a job, and the
+/// agent's name. The first attempt to start the task is still held up, and the
+/// coordinator is frozen.
+fn frozen_site_with_late_attempt() -> (Site, String) {
+    let site = start_site(1, 1);
+    wait_for_age(&site, YOUNG_AGE_MS);
+    let name = site.agents[0].name.clone();
+    delay_starts(&site, Share::First);
+    submit(&site, FORMER_JOB, &job(1, 1, 200, false));
+    site.wait_for_state(0, FORMER_JOB, "done", WAIT_LIMIT);
+    delay_starts(&site, Share::None);
+    thread::sleep(LISTING_TIME);
+    assert_eq!(site.workers.delayed_calls(&name), 1);
+    site.entries[0].process.freeze();
+    (site, name)
+}
+
+/// Has an upstream carry out the attempt that is held up, and checks that it
+/// does not start the task again.
+fn assert_late_attempt_is_refused(site: &Site, name: &str) {
+    site.workers.carry_out_delayed(name);
+    site.entries[0].process.thaw();
+    thread::sleep(LISTING_TIME);
+    site.assert_no_violations();
+    assert_eq!(starts(site, FORMER_JOB).len(), 1);
+}
+
+// Guards against a done task that starts again on an incarnation that its
+// agent knows and the coordinator does not.
+#[test]
+fn a_late_attempt_while_the_coordinator_is_frozen_starts_no_done_task() {
+    let (site, name) = frozen_site_with_late_attempt();
+    restart(&site, &name);
+    wait_until_registered(&site, &name);
+    assert_late_attempt_is_refused(&site, &name);
+}
+
+// Guards against the same if the agent has restarted as well, and no
+// coordinator has sent it a fencing token.
+#[test]
+fn a_late_attempt_at_a_restarted_agent_starts_no_done_task() {
+    let (mut site, name) = frozen_site_with_late_attempt();
+    site.agents[0].process.kill();
+    restart(&site, &name);
+    site.restart_agent(0).expect("the agent starts");
+    wait_until_registered(&site, &name);
+    assert_late_attempt_is_refused(&site, &name);
+}
+
+// Guards against an upstream that gets no work, because the agent that raised
+// its fencing token has restarted and doesn't know that.
+#[test]
+fn an_upstream_that_was_fenced_by_an_earlier_agent_gets_work() {
+    let (mut site, name) = frozen_site_with_late_attempt();
+    restart(&site, &name);
+    wait_until_registered(&site, &name);
+    site.agents[0].process.kill();
+    site.restart_agent(0).expect("the agent starts");
+    site.entries[0].process.thaw();
+    submit(&site, LONG_JOB, &large_job(300));
+    assert_not_twice(&site, 0, &[LONG_JOB], WAIT_LIMIT);
+}
