Register an upstream only with a fencing token of its own

Now the registration itself asks, under the lock, whether the candidate has seen the token that it needs, and repeats the check if not. The agent's token is that of the registered upstream; calls to candidates have their own. A refusal by the registered upstream counts only if it answers as itself. `a_grant_during_the_call_of_a_candidate_raises_the_required_token`. In the model reports go to the coordinator whose message the agent took last.

An agent that was restarted finds a refused token again by one step and then by the store's revision, not by a step for each heartbeat.

--- a/crates/coordination/src/fencing.rs
+++ b/crates/coordination/src/fencing.rs
@@ -4,28 +4,26 @@
 //! back under its old id executes calls that were meant for its former
 //! incarnation, until it has seen a higher token than theirs. The coordinator
 //! gives each incarnation such a token, but it may learn of one late. So an
-//! agent that registers an upstream under a token with which it has called
-//! another incarnation raises the token by itself. It reports the token that
-//! it used, and the coordinator gives its next orders one that is not lower.
+//! agent registers an upstream only after that has answered a call with a token
+//! with which no other one was called. It reports the token that it uses, and
+//! the coordinator gives its next orders one that is not lower.
 
 use figrill_state::batch::Incarnation;
 
 /// The fencing token of an agent's calls to its upstream.
 #[derive(Clone, Debug, Default)]
 pub struct AgentFence {
-    /// The highest token that a coordinator has sent; 0 before the first one.
-    granted: u64,
-    /// The highest token that the agent has chosen by itself.
-    raised: u64,
-    /// The incarnation that calls with the present token are meant for.
-    incarnation: Option<Incarnation>,
+    token: u64,
+    /// The incarnation that calls with the token are meant for.
+    used_for: Option<Incarnation>,
 }
 
 impl AgentFence {
-    /// Returns the token of calls to the upstream; 0 if none is known yet.
+    /// Returns the token of calls to the registered upstream; 0 if none is
+    /// known yet.
     #[must_use]
     pub fn token(&self) -> u64 {
-        self.granted.max(self.raised)
+        self.token
     }
 
     /// Records the token of a coordinator's message, and for which incarnation
@@ -37,34 +35,34 @@
         registered: Option<&Incarnation>,
         named: Option<&Incarnation>,
     ) {
-        let is_higher = token > self.token();
-        let is_unused = token == self.token() && self.incarnation.is_none();
-        self.granted = self.granted.max(token);
-        if is_higher || is_unused {
-            self.incarnation = registered.or(named).cloned();
+        let is_unused = token == self.token && self.used_for.is_none();
+        if token > self.token || is_unused {
+            self.token = token;
+            self.used_for = registered.or(named).cloned();
         }
     }
 
-    /// Returns the token of the call after which `incarnation` is registered:
-    /// a higher one than the present if calls with that were meant for another
-    /// incarnation.
+    /// Returns the lowest token that `incarnation` must have seen before it is
+    /// registered.
     #[must_use]
-    pub fn token_for(&self, incarnation: &Incarnation) -> u64 {
-        let is_used =
-            self.incarnation.as_ref().is_some_and(|i| i != incarnation);
-        self.token() + u64::from(is_used)
+    pub fn required_for(&self, incarnation: &Incarnation) -> u64 {
+        let is_used = self.used_for.as_ref().is_some_and(|i| i != incarnation);
+        self.token + u64::from(is_used)
     }
 
-    /// Records that `incarnation` was registered.
-    pub fn record_registration(&mut self, incarnation: &Incarnation) {
-        self.incarnation = Some(incarnation.clone());
+    /// Records that `incarnation` is registered, which has seen `token`.
+    pub fn record_registration(
+        &mut self,
+        incarnation: &Incarnation,
+        token: u64,
+    ) {
+        self.raise(token);
+        self.used_for = Some(incarnation.clone());
     }
 
-    /// Raises the token to at least `token`. This comes before a call with it,
-    /// which an upstream may execute without an answer.
+    /// Raises the token to at least `token`, which the registered upstream has
+    /// seen.
     pub fn raise(&mut self, token: u64) {
-        if token > self.token() {
-            self.raised = token;
-        }
+        self.token = self.token.max(token);
     }
 }
--- a/crates/coordination/src/registration.rs
+++ b/crates/coordination/src/registration.rs
@@ -265,6 +265,14 @@
         }
     }
 
+    /// Returns whether a candidate can be registered. `ended` is the registered
+    /// upstream if there is one and [`Self::handle_check`] has shown that it has
+    /// ended.
+    #[must_use]
+    pub fn is_free(&self, ended: Option<&Incarnation>) -> bool {
+        self.current().is_none_or(|u| Some(&u.incarnation) == ended)
+    }
+
     /// Handles the result of [`Check::Candidate`]. `answers` tells whether the
     /// candidate answered as itself, and `ended` is the registered upstream
     /// if there is one and [`Self::handle_check`] has shown that it has ended.
@@ -279,9 +287,7 @@
         else {
             return Confirmation::Changed;
         };
-        let is_free =
-            self.current().is_none_or(|u| Some(&u.incarnation) == ended);
-        if !answers || !is_free {
+        if !answers || !self.is_free(ended) {
             self.candidates.remove(position);
             let why = if answers {
                 HeartbeatError::Occupied
--- a/crates/coordination/tests/fencing.rs
+++ b/crates/coordination/tests/fencing.rs
@@ -103,23 +103,23 @@
         }
         for born_ms in case.registered {
             let incarnation = incarnation(born_ms);
-            fence.raise(fence.token_for(&incarnation));
-            fence.record_registration(&incarnation);
+            let token = fence.required_for(&incarnation);
+            fence.record_registration(&incarnation, token);
         }
-        let token = fence.token_for(&incarnation(case.called));
+        let token = fence.required_for(&incarnation(case.called));
         assert_eq!(token, case.token, "{}", case.name);
     }
 }
 
+// Guards against an incarnation that is registered with the token of calls for
+// the former one, because a coordinator's message came while it was called.
 #[test]
-fn a_raised_token_never_falls() {
+fn a_grant_during_the_call_of_a_candidate_raises_the_required_token() {
+    let (former, next) = (incarnation(1), incarnation(2));
     let mut fence = AgentFence::default();
     fence.record_grant(7, None, None);
-    fence.raise(9);
-    fence.raise(8);
-    assert_eq!(fence.token(), 9);
-    fence.record_grant(8, None, None);
-    assert_eq!(fence.token(), 9);
-    fence.record_grant(20, None, None);
-    assert_eq!(fence.token(), 20);
+    fence.record_registration(&former, 7);
+    assert_eq!(fence.required_for(&next), 8);
+    fence.record_grant(20, Some(&former), None);
+    assert_eq!(fence.required_for(&next), 21);
 }
--- a/crates/coordination/tests/fleet/sim/agents.rs
+++ b/crates/coordination/tests/fleet/sim/agents.rs
@@ -28,9 +28,19 @@
     pub(super) next_renewal_ms: u64,
     /// The acknowledgement that it has passed on last.
     pub(super) acknowledged: u64,
+    /// The term of the coordinator that it reports to.
+    pub(super) term: u64,
 }
 
 impl Agent {
+    /// Records of which term a message is, unless its fencing token is too low.
+    /// Reports go to the coordinator of that term from then on.
+    pub(super) fn record_term(&mut self, term: u64, token: u64) {
+        if token >= self.grant.token {
+            self.term = term;
+        }
+    }
+
     /// Records the fencing token of a coordinator's message.
     fn record_token(&mut self, token: u64, target: &Incarnation) {
         let named = Some(target).filter(|i| **i != Incarnation::default());
@@ -193,6 +203,9 @@
     }
 
     pub(super) fn send_report(&mut self, name: &str, report: Report) {
+        if self.agents.get(name).is_some_and(|a| a.term != self.token) {
+            return;
+        }
         let message = Message::Report(name.to_owned(), Box::new(report));
         self.send(STEP_MS, message);
     }
@@ -254,7 +267,7 @@
         };
         let incarnation = &upstream.incarnation;
         let registered = agent.registered.clone();
-        let token = agent.fence.token_for(incarnation);
+        let token = agent.fence.required_for(incarnation);
         let is_current = grant.upstream == *incarnation;
         let last_acknowledged =
             std::mem::replace(&mut agent.acknowledged, grant.acknowledged);
@@ -291,8 +304,7 @@
         if let Some(agent) = self.agents.get_mut(name) {
             if snapshot.is_some() {
                 agent.registered = Some(incarnation.clone());
-                agent.fence.raise(token);
-                agent.fence.record_registration(incarnation);
+                agent.fence.record_registration(incarnation, token);
             } else {
                 agent.fence.raise(token + 1);
             }
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -169,9 +169,15 @@
                 self.send_actions();
             }
             Message::ToAgent(agent, message) => {
+                if let Some(a) = self.agents.get_mut(&agent) {
+                    a.record_term(token, token_of(&message));
+                }
                 self.handle_at_agent(&agent, message);
             }
             Message::Start(agent, upstream, start, unanswered) => {
+                if let Some(a) = self.agents.get_mut(&agent) {
+                    a.record_term(token, start.token);
+                }
                 self.start_at_agent(&agent, &upstream, &start, unanswered);
             }
             Message::LateStart(agent, upstream, start, lateness)
@@ -189,6 +195,15 @@
     }
 }
 
+/// Returns the fencing token of a coordinator's message.
+fn token_of(message: &ToAgent) -> u64 {
+    match message {
+        ToAgent::Grant(grant) => grant.token,
+        ToAgent::Start { start, .. } => start.token,
+        ToAgent::Stop { token, .. } => *token,
+    }
+}
+
 /// Returns whether a message is for the coordinator that it was sent to, and
 /// not for any later one.
 pub(super) fn is_for_coordinator(message: &Message) -> bool {
--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -35,6 +35,7 @@
 };
 
 mod confirm;
+mod fence;
 mod hold;
 mod orders;
 mod upstream;
--- a/crates/node/src/fleet/agent/confirm.rs
+++ b/crates/node/src/fleet/agent/confirm.rs
@@ -7,13 +7,14 @@
 use figrill_state::{
     batch::Incarnation,
     event::Code,
-    runner::{Hold, RunnerError, UpstreamState},
+    runner::{RunnerError, UpstreamState},
 };
 use figrill_transport::peer::Net;
 
 use super::{
-    AgentContext, HEARTBEAT_INTERVAL, POLL_INTERVAL,
-    hold::{hold_incarnation, store_revision},
+    AgentContext, HEARTBEAT_INTERVAL, POLL_INTERVAL, State,
+    fence::{probe_above, store_revision},
+    hold::probe,
     report,
     upstream::{describe, record_draining, record_refusal},
 };
@@ -85,8 +86,10 @@
     }
     match store_revision(cx) {
         Ok(revision) => {
-            let is_fenced = fence(cx, candidate, revision + 1);
-            settle_candidate(cx, candidate, is_fenced, None);
+            let token = revision + 1;
+            if probe(cx, candidate, token).is_ok() {
+                settle_candidate(cx, candidate, Some(token), None);
+            }
         }
         Err(e) => log::debug!("failed to read the store's revision: {e}"),
     }
@@ -99,53 +102,82 @@
     candidate: &UpstreamState,
     token: u64,
 ) {
-    let is_alive = probe(cx, candidate, token).is_ok();
+    let seen = call_candidate(cx, candidate, token);
     let registered = cx.lock().registration.current().cloned();
-    let is_free = registered.is_none();
     let ended = registered
-        .filter(|u| is_alive && has_ended(cx, u, token))
+        .filter(|u| seen.is_some() && has_ended(cx, u, token))
         .map(|u| u.incarnation);
-    let is_free = is_free || ended.is_some();
-    let is_fenced = is_alive && is_free && {
-        let token = cx.lock().fence.token_for(&candidate.incarnation);
-        fence(cx, candidate, token)
-    };
-    let answers = is_fenced || is_alive && !is_free;
-    settle_candidate(cx, candidate, answers, ended.as_ref());
+    let seen =
+        seen.and_then(|t| fence_candidate(cx, candidate, t, ended.as_ref()));
+    settle_candidate(cx, candidate, seen, ended.as_ref());
 }
 
-/// Makes sure that a candidate refuses calls with a lower fencing token than
-/// `token`. Returns whether it has answered.
-fn fence(cx: &AgentContext, candidate: &UpstreamState, token: u64) -> bool {
-    {
-        let mut state = cx.lock();
-        if token <= state.fence.token() {
-            return true;
+/// Calls a candidate. Returns the fencing token that it has seen, or `None` if
+/// it does not answer as itself. If it refuses `token` and no upstream is
+/// registered, an earlier process of this agent has called it with a higher
+/// one.
+fn call_candidate(
+    cx: &AgentContext,
+    candidate: &UpstreamState,
+    token: u64,
+) -> Option<u64> {
+    match probe(cx, candidate, token) {
+        Ok(()) => Some(token),
+        Err(RunnerError::Fenced)
+            if cx.lock().registration.current().is_none() =>
+        {
+            probe_above(cx, candidate, token).ok()
         }
-        state.fence.raise(token);
+        Err(_) => None,
     }
-    let detail = format!("upstream={} token={token}", describe(candidate));
-    cx.journal.record_event(Code::UpstreamFenced, detail);
-    probe(cx, candidate, token).is_ok()
 }
 
-/// Registers a candidate that answers as itself, or drops it. `ended` is the
-/// upstream in whose place it comes.
+/// Makes sure that a candidate that can be registered refuses calls that were
+/// meant for other incarnations. `seen` is the fencing token that it has seen.
+/// Returns the one that it has seen then, or `None` if it did not answer.
+fn fence_candidate(
+    cx: &AgentContext,
+    candidate: &UpstreamState,
+    seen: u64,
+    ended: Option<&Incarnation>,
+) -> Option<u64> {
+    let token = {
+        let state = cx.lock();
+        if !state.registration.is_free(ended) {
+            return Some(seen);
+        }
+        state.fence.required_for(&candidate.incarnation)
+    };
+    if token <= seen {
+        return Some(seen);
+    }
+    probe(cx, candidate, token).ok().map(|()| token)
+}
+
+/// Registers a candidate that answers as itself, or drops it. `seen` is the
+/// fencing token that it has seen if it answers, and `ended` the upstream in
+/// whose place it comes. If it has to be fenced first, it remains a candidate.
 fn settle_candidate(
     cx: &AgentContext,
     candidate: &UpstreamState,
-    answers: bool,
+    seen: Option<u64>,
     ended: Option<&Incarnation>,
 ) {
     let mut state = cx.lock();
-    let confirmation = state
-        .registration
-        .settle_candidate(candidate, answers, ended);
+    let required = state.fence.required_for(&candidate.incarnation);
+    let is_fenced = seen.is_none_or(|token| token >= required);
+    if state.registration.is_free(ended) && !is_fenced {
+        return;
+    }
+    let confirmation =
+        state
+            .registration
+            .settle_candidate(candidate, seen.is_some(), ended);
     match confirmation {
         Confirmation::Registered(change) => {
             record_registration(cx, &change);
-            let incarnation = &change.upstream.incarnation;
-            state.fence.record_registration(incarnation);
+            let token = seen.unwrap_or(required);
+            record_fence(cx, &mut state, &change.upstream, token);
             state.grant.deadline_ms = None;
             state.grant.acknowledged = 0;
             cx.changed.notify_all();
@@ -155,6 +187,22 @@
     }
 }
 
+/// Records the fencing token that a registered upstream has seen.
+fn record_fence(
+    cx: &AgentContext,
+    state: &mut State,
+    upstream: &UpstreamState,
+    token: u64,
+) {
+    if token > state.fence.token() {
+        let detail = format!("upstream={} token={token}", describe(upstream));
+        cx.journal.record_event(Code::UpstreamFenced, detail);
+    }
+    state
+        .fence
+        .record_registration(&upstream.incarnation, token);
+}
+
 /// Ends the registration of an upstream that has deregistered, once it has
 /// ended.
 fn check_leaving(
@@ -187,24 +235,6 @@
     )
 }
 
-/// Makes a call that succeeds if an upstream answers as the incarnation that
-/// it reported. The call changes nothing there but the fencing token.
-fn probe(
-    cx: &AgentContext,
-    upstream: &UpstreamState,
-    token: u64,
-) -> Result<(), RunnerError> {
-    let hold = Hold {
-        token,
-        ..Hold::default()
-    };
-    let result = hold_incarnation(cx, upstream, hold);
-    if let Err(e) = &result {
-        log::debug!("no confirmation of {}: {e}", describe(upstream));
-    }
-    result.map(drop)
-}
-
 /// Records that an upstream is registered now.
 fn record_registration(cx: &AgentContext, change: &Change) {
     let upstream = describe(&change.upstream);
--- a/crates/node/src/fleet/agent/hold.rs
+++ b/crates/node/src/fleet/agent/hold.rs
@@ -6,16 +6,15 @@
 
 use figrill_coordination::scheduler::message::{Grant, Report};
 use figrill_state::{
-    batch::{Incarnation, keys},
+    batch::Incarnation,
     event::Code,
-    kv::KvError,
     runner::{Hold, RunnerError, Snapshot, UpstreamState},
 };
 use figrill_transport::peer::Net;
 
 use super::{
-    super::STORE_TIMEOUT, AgentContext, HEARTBEAT_INTERVAL, POLL_INTERVAL,
-    State, report, send_report,
+    AgentContext, HEARTBEAT_INTERVAL, POLL_INTERVAL, State,
+    fence::handle_refused_token, report, send_report, upstream::describe,
 };
 
 /// The maximum wait of a hold call for a run to end while runs are active.
@@ -119,6 +118,15 @@
             }
             Err(e) => {
                 poll.incarnation = None;
+                let e = match e {
+                    RunnerError::Fenced => {
+                        handle_refused_token(cx, &upstream, token).err()
+                    }
+                    e => Some(e),
+                };
+                let Some(e) = e else {
+                    continue;
+                };
                 record_failed_call(cx, &upstream.incarnation, &e);
                 report_failure(cx, net, &upstream, &e);
                 thread::sleep(HOLD_RETRY_DELAY);
@@ -128,18 +136,13 @@
 }
 
 /// Makes a hold call. An answer of another incarnation with the same id counts
-/// as a failure. If the upstream refuses the fencing token, later calls have a
-/// higher one.
-pub(super) fn hold_incarnation(
+/// as a failure.
+fn hold_incarnation(
     cx: &AgentContext,
     upstream: &UpstreamState,
     hold: Hold,
 ) -> Result<Snapshot, RunnerError> {
-    let result = cx.config.runner.hold(upstream, hold);
-    if matches!(result, Err(RunnerError::Fenced)) {
-        raise_refused_token(cx, hold.token);
-    }
-    let snapshot = result?;
+    let snapshot = cx.config.runner.hold(upstream, hold)?;
     if snapshot.born_ms == upstream.incarnation.born_ms {
         Ok(snapshot)
     } else {
@@ -147,25 +150,22 @@
     }
 }
 
-/// Raises the fencing token after an upstream has refused a call with `token`:
-/// an earlier process of this agent has raised it, as a rule not above the
-/// revision of the store by more than one.
-fn raise_refused_token(cx: &AgentContext, token: u64) {
-    if token == 0 {
-        return;
+/// Makes a call that succeeds if an upstream answers as the incarnation that
+/// it reported. The call changes nothing there but the fencing token.
+pub(super) fn probe(
+    cx: &AgentContext,
+    upstream: &UpstreamState,
+    token: u64,
+) -> Result<(), RunnerError> {
+    let hold = Hold {
+        token,
+        ..Hold::default()
+    };
+    let result = hold_incarnation(cx, upstream, hold);
+    if let Err(e) = &result {
+        log::debug!("no confirmation of {}: {e}", describe(upstream));
     }
-    let revision = store_revision(cx).unwrap_or_else(|e| {
-        log::debug!("failed to read the store's revision: {e}");
-        0
-    });
-    cx.lock().fence.raise(token.max(revision) + 1);
-}
-
-/// Returns the present revision of the store.
-pub(super) fn store_revision(cx: &AgentContext) -> Result<u64, KvError> {
-    let key = keys::agent(&cx.config.deployment.name);
-    let listing = cx.config.kv.list(&key, STORE_TIMEOUT)?;
-    Ok(listing.revision)
+    result.map(drop)
 }
 
 /// Ends the registration of an upstream if a failed call shows that it has
