Send no fencing token that the store has not reached

An upstream that restarts four times or more while the store is down has seen a token above the revisions to come. The coordinator passed a number close to it on to the agent, with a new stream or a stop, before a commit had reached it; the agent then ignored the next coordinator, whose token was lower, for good. Found by review; in the model with four and more restarts the job had not ended after 60 s, now all end within 5 s (`an_upstream_that_restarted_often_gets_work_from_the_next_coordinator`).

A coordinator takes the token that the agent has used into account with the first report of an incarnation, so that the first stops there are not refused.

--- a/crates/coordination/src/scheduler/fences.rs
+++ b/crates/coordination/src/scheduler/fences.rs
@@ -14,7 +14,12 @@
         let worker = self.workers.get(agent);
         match worker.map(|w| w.fence).unwrap_or_default() {
             Fence::Term => self.token,
-            Fence::Revision(token) | Fence::Above(token) => token,
+            Fence::Revision(token) => token,
+            // A token above those that the store has reached could be above
+            // that of the next coordinator.
+            Fence::Above(token) => {
+                token.min(self.commit_state.revision().max(self.token))
+            }
         }
     }
 
@@ -26,7 +31,7 @@
     }
 
     /// Records the token of an agent's call to its upstream, which answers no
-    /// calls with a lower one.
+    /// calls with a lower one. Orders may have the same.
     pub(super) fn record_agent_token(&mut self, agent: &str, token: u64) {
         if token <= self.order_token(agent) {
             return;
--- a/crates/coordination/src/scheduler/incarnations.rs
+++ b/crates/coordination/src/scheduler/incarnations.rs
@@ -13,15 +13,17 @@
 use crate::registration::is_consistent;
 
 impl Scheduler {
-    /// Records the upstream of an agent. Returns `false` if it is an earlier
-    /// incarnation than the one that is known, and that may still have runs.
+    /// Records the upstream of an agent, which has seen the fencing token
+    /// `seen`. Returns `false` if it is an earlier incarnation than the one that
+    /// is known, and that may still have runs.
     pub(super) fn update_upstream(
         &mut self,
         now: Now,
         agent: &str,
         upstream: &UpstreamState,
+        seen: u64,
     ) -> bool {
-        let token = self.order_token(agent);
+        let token = self.order_token(agent).max(seen.saturating_sub(1));
         let worker = self.workers.entry(agent.to_owned()).or_default();
         let known = worker.incarnation().cloned();
         // The start of a later incarnation is the earlier time if the wall
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -46,7 +46,7 @@
     let Some(upstream) = report.upstream else {
         return;
     };
-    if !scheduler.update_upstream(now, agent, &upstream) {
+    if !scheduler.update_upstream(now, agent, &upstream, report.token) {
         return;
     }
     scheduler.record_agent_token(agent, report.token);
--- a/crates/coordination/tests/fleet/former_incarnations.rs
+++ b/crates/coordination/tests/fleet/former_incarnations.rs
@@ -255,3 +255,27 @@
         assert_no_violations(&sim, &case);
     }
 }
+
+// Guards against an upstream that the next coordinator cannot use, because its
+// agent was sent a token that the store had not reached.
+#[test]
+fn an_upstream_that_restarted_often_gets_work_from_the_next_coordinator() {
+    for restarts in 1..8 {
+        let mut sim = Sim::new(1, 1);
+        sim.run(1000);
+        sim.store_up = false;
+        for _ in 0..restarts {
+            let now = sim.now_ms;
+            sim.pool.restart_upstream(now, "agent-00");
+            sim.run(500);
+        }
+        sim.scheduler.agent_connected("agent-00");
+        sim.run(100);
+        sim.store_up = true;
+        sim.take_over();
+        sim.submit(job(1, 1, 1, 8, 300));
+        let case = format!("{restarts} restarts");
+        assert!(sim.run_until(5000, Sim::all_ended), "{case}");
+        assert_no_violations(&sim, &case);
+    }
+}
