Doubles: answer calls on waiting threads, not on a new one each

Beside load, tests of the whole program went red because the store's double answered late: entries then refuse (503, 504), leases lapse, and starts take too long. Processes of figrill were not the cause. Each call started a thread; now a thread that is done waits 5 s for the next call.

No bound of a test has changed.

--- a/crates/standin/src/web.rs
+++ b/crates/standin/src/web.rs
@@ -1,5 +1,7 @@
-//! The HTTP server that the test doubles share. Each call is handled on its
-//! own thread, so that a long poll does not block other calls.
+//! The HTTP server that the test doubles share. Each call has a thread to
+//! itself, so that a long poll does not block other calls. A thread that is
+//! done takes the next call: on a busy machine, a new one may wait for the
+//! processor for seconds, and callers take the server for unresponsive.
 
 use std::{
     io::{self, ErrorKind},
@@ -8,7 +10,7 @@
     time::Duration,
 };
 
-use crossbeam::channel::bounded;
+use crossbeam::channel::{Receiver, bounded};
 use figrill_transport::{
     http::{self, Answer, Event, Server},
     runtime::Runtime,
@@ -19,6 +21,9 @@
 /// The maximum number of calls that wait for a thread.
 const CALL_QUEUE_CAPACITY: usize = 1024;
 
+/// The time after which a thread that gets no call ends.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
 /// The time limit for a closed listener to be released by the processes that
 /// were being started when it was closed.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -128,16 +133,7 @@
             .spawn(move || {
                 // It must be kept for as long as calls are served.
                 let _kept_alive = server;
-                while let Ok(event) = rx.recv() {
-                    let Event::Call(call) = event else { continue };
-                    let answer = answer.clone();
-                    let spawned = thread::Builder::new()
-                        .name("call".to_owned())
-                        .spawn(move || respond(*call, &answer));
-                    if let Err(e) = spawned {
-                        eprintln!("cannot start a thread for a call: {e}");
-                    }
-                }
+                respond_to_all(&rx, &answer);
             })?;
         Ok(Self { address, runtime })
     }
@@ -163,6 +159,42 @@
     Ok(HttpServer::start(listen, answer)?.address)
 }
 
+/// Passes each call to a thread that waits for one, or else to a new one.
+fn respond_to_all(
+    events: &Receiver<Event>,
+    answer: &(impl Fn(&Call) -> Reply + Clone + Send + 'static),
+) {
+    // Without a buffer, only a thread that waits takes a call.
+    let (idle_tx, idle_rx) = bounded::<Box<http::Call>>(0);
+    for event in events {
+        let Event::Call(call) = event else { continue };
+        let Err(unsent) = idle_tx.try_send(call) else {
+            continue;
+        };
+        let (calls, answer) = (idle_rx.clone(), answer.clone());
+        let run =
+            move || respond_in_turn(unsent.into_inner(), &calls, &answer);
+        let builder = thread::Builder::new().name("call".to_owned());
+        let spawned = builder.spawn(run);
+        if let Err(e) = spawned {
+            eprintln!("cannot start a thread for a call: {e}");
+        }
+    }
+}
+
+/// Answers a call, and then those that follow until there is none for
+/// [`IDLE_TIME`].
+fn respond_in_turn(
+    first: Box<http::Call>,
+    calls: &Receiver<Box<http::Call>>,
+    answer: &impl Fn(&Call) -> Reply,
+) {
+    respond(*first, answer);
+    while let Ok(call) = calls.recv_timeout(IDLE_TIME) {
+        respond(*call, answer);
+    }
+}
+
 fn respond(call: http::Call, answer: &impl Fn(&Call) -> Reply) {
     let expected_instance = call.headers.get(INSTANCE_HEADER);
     let expected_instance = expected_instance.and_then(|v| v.to_str().ok());
