Refuse a job for certain if the store refuses it slowly

Seen: `a_job_refused_while_the_store_refuses_is_never_run` was red once beside load, 504 instead of 503. Cause: a write is repeated until the caller's deadline allows no further attempt; the last one got the few milliseconds that were left, had no answer in them, and made an unknown outcome out of a sure refusal. Now a retry is made only if the store has 100 ms to answer it; a first attempt is made in any case.

--- a/crates/node/src/fleet/stored.rs
+++ b/crates/node/src/fleet/stored.rs
@@ -44,6 +44,9 @@
     KvError::Unanswered(e.to_string())
 }
 
+/// The least time limit of a store call that repeats one.
+const MIN_RETRY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The deadline of a caller's request.
 pub(super) trait Deadline {
     /// Returns the time limit for the next store call. If it is zero, no
@@ -53,6 +56,16 @@
     fn wait_before_retry(&self);
 }
 
+/// Returns whether an attempt to write may still be made. A retry that the store
+/// hardly has the time to answer could turn a refusal into an unknown outcome.
+fn allows_attempt(timeout: Duration, is_retry: bool) -> bool {
+    if is_retry {
+        timeout >= MIN_RETRY_TIMEOUT
+    } else {
+        !timeout.is_zero()
+    }
+}
+
 /// Writes the record of an accepted job, unless a record with its id exists.
 /// Retries until the deadline. This is safe because a repeated write only
 /// conflicts with the record that an earlier one has written.
@@ -63,9 +76,9 @@
 ) -> WriteOutcome {
     let txn = Txn::compare_and_swap(&keys::job(batch.id), 0, encode(batch));
     let mut uncertain = false;
-    loop {
+    for attempt in 0.. {
         let timeout = deadline.attempt_timeout();
-        if timeout.is_zero() {
+        if !allows_attempt(timeout, attempt > 0) {
             break;
         }
         match kv.commit(&txn, timeout) {
@@ -101,9 +114,9 @@
 ) -> WriteOutcome {
     let key = keys::job(id);
     let mut uncertain = false;
-    loop {
+    for attempt in 0.. {
         let timeout = deadline.attempt_timeout();
-        if timeout.is_zero() {
+        if !allows_attempt(timeout, attempt > 0) {
             break;
         }
         match try_cancel(kv, &key, timeout) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -194,6 +194,31 @@
     assert_eq!(site.starts(1), 0);
 }
 
+// Guards against an unknown outcome (504) of a job that the store has refused,
+// because a last attempt was left too little time for its answer.
+#[test]
+fn a_job_is_refused_although_the_store_refuses_it_slowly() {
+    for delay_ms in [46, 48, 50, 52] {
+        let site = start_site(1, 1);
+        let entry = site.entry(0);
+        let mut faults = site.entries[0].store_endpoint.faults();
+        faults.outage = Outage::Refusing;
+        faults.delay = Duration::from_millis(delay_ms);
+        drop(faults);
+        let submit = |id| {
+            let client = site.client.clone();
+            thread::spawn(move || {
+                client.submit(entry, id, &job(1, 1, 100, false)).status
+            })
+        };
+        let submissions: Vec<_> = (1..=8).map(submit).collect();
+        for submission in submissions {
+            let status = submission.join().expect("a status");
+            assert_eq!(status, 503, "refused after {delay_ms} ms");
+        }
+    }
+}
+
 #[test]
 fn a_lost_answer_of_the_store_is_resolved_by_a_retry() {
     let site = start_site(1, 1);
