Doubles: end the upstreams with their site

Trace: the agents' logs show `UpstreamUp upstream=i-agent-4 born=...` with sequence 782 at agent-1, and the like at agent-4 and agent-0 with 680 and 681: upstreams of rounds that had ended minutes before. The doubles' upstreams went on for as long as the process, and reported to whichever agent got the address of their own one. A gang with a member on such an upstream never came together, as its model knew nothing of the others.

An agent used to refuse most of them by luck: they had seen a higher fencing token than the new round had reached.

The upstreams now end when their site does. The new test fails if they do not.

--- a/crates/standin/src/platform/site.rs
+++ b/crates/standin/src/platform/site.rs
@@ -345,6 +345,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
+        self.workers.end();
         let keep = self.keep_logs.load(Ordering::Relaxed);
         if !keep && !std::thread::panicking() {
             let _ = fs::remove_dir_all(&self.dir);
--- a/crates/standin/src/platform/workers.rs
+++ b/crates/standin/src/platform/workers.rs
@@ -6,7 +6,10 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -51,6 +54,8 @@
     drains: Mutex<Vec<AcknowledgedDrain>>,
     processes: Mutex<BTreeMap<String, Process>>,
     delays: Mutex<Delays>,
+    /// Set when the site has ended, and all upstreams with it.
+    ended: AtomicBool,
     start: Instant,
     /// The Unix time at `start`, in milliseconds.
     start_unix_ms: u64,
@@ -98,6 +103,7 @@
                 drains: Mutex::default(),
                 processes: Mutex::default(),
                 delays: Mutex::default(),
+                ended: AtomicBool::new(false),
                 start: Instant::now(),
                 start_unix_ms: u64::try_from(unix_ms).unwrap_or(u64::MAX),
             }),
@@ -105,7 +111,7 @@
         let advancing = workers.clone();
         thread::Builder::new().spawn(move || {
             let mut last = advancing.now_ms();
-            loop {
+            while !advancing.have_ended() {
                 thread::sleep(STEP_INTERVAL);
                 let now = advancing.now_ms();
                 advancing.pool().advance(now, now - last);
@@ -116,6 +122,21 @@
         Ok(workers)
     }
 
+    /// Ends all upstreams for good. An upstream that outlived its site would
+    /// report to whichever agent gets the address of its own one next.
+    pub fn end(&self) {
+        self.shared.ended.store(true, Ordering::Relaxed);
+        let mut processes = std::mem::take(&mut *self.processes());
+        let servers = processes.values_mut().filter_map(|p| p.server.take());
+        for server in servers {
+            server.close();
+        }
+    }
+
+    fn have_ended(&self) -> bool {
+        self.shared.ended.load(Ordering::Relaxed)
+    }
+
     /// Locks the model. It does not advance while the guard is held.
     pub fn pool(&self) -> MutexGuard<'_, Pool> {
         let pool = self.shared.pool.lock();
@@ -199,7 +220,7 @@
     }
 
     fn send_heartbeats(&self, name: &str, agent: SocketAddr) {
-        loop {
+        while !self.have_ended() {
             if let Some(upstream) = self.next_heartbeat(name) {
                 let id = &upstream.incarnation.id;
                 let body = heartbeat_json(&upstream, self.now_ms());
--- a/crates/standin/src/web.rs
+++ b/crates/standin/src/web.rs
@@ -138,12 +138,17 @@
         Ok(Self { address, runtime })
     }
 
+    /// Closes the listener and all connections.
+    pub(crate) fn close(self) {
+        self.runtime.stop();
+    }
+
     /// Closes the listener and all connections at once, as when the serving
     /// process is killed. Returns once connections are refused: a process that
     /// is being started holds the listener until it runs its own program.
     pub(crate) fn stop(self) {
         let address = self.address;
-        self.runtime.stop();
+        self.close();
         wait_for("connections to be refused", RELEASE_TIMEOUT, || {
             TcpStream::connect(address).is_err().then_some(())
         });
--- a/crates/standin/tests/workers.rs
+++ b/crates/standin/tests/workers.rs
@@ -2,8 +2,9 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener, TcpStream},
     thread,
+    time::Duration,
 };
 
 use figrill_standin::platform::workers::Workers;
@@ -87,3 +88,23 @@
         assert_eq!(missing, None, "not listed at {clock_ms} ms");
     }
 }
+
+// Guards against an upstream that outlives its site, and reports to an agent of
+// a later one at the same address.
+#[test]
+fn an_ended_upstream_reports_to_nobody_and_refuses_calls() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+    let agent = listener.local_addr().expect("an address");
+    let workers = Workers::start().expect("threads");
+    workers.add("agent-0", "rack-0", agent).expect("an address");
+    let address = workers.pool().nodes["agent-0"].upstream.address.clone();
+    listener.accept().expect("a heartbeat");
+    workers.end();
+    // Reports that were on their way are over, and another one would be due.
+    thread::sleep(Duration::from_secs(2));
+    listener.set_nonblocking(true).expect("a listener");
+    while listener.accept().is_ok() {}
+    thread::sleep(Duration::from_secs(2));
+    assert!(listener.accept().is_err(), "an ended upstream reports");
+    assert!(TcpStream::connect(address).is_err(), "it takes calls");
+}
