Tell agents of an entry as soon as it connects

Callers' repeatable jobs ran twice in a rolling restart. An entry that restarts has a new address. Agents learnt it when another entry read the list in the store, every 5 s, or when they read it themselves, every 10 s, but the entry may have taken the term by then and places jobs 1 s later, without the reports of the agents that it has not heard of. In the logs the agents connected 2 to 10 s after the restart, and each job that started twice had been placed again just before its agent reported it.

An entry now passes on the address of every entry that connects to it. The new test timed out before: with the store down, agents never found the entry.

--- a/crates/node/src/entry/duty/streams.rs
+++ b/crates/node/src/entry/duty/streams.rs
@@ -8,11 +8,22 @@
 use figrill_coordination::{coordinator, entry, term};
 use figrill_protocol::message::{Heartbeat, Message, Peer};
 use figrill_state::event::Code;
+use figrill_state::record::EntryAddress;
 use figrill_transport::peer::{ConnId, Event as NetEvent};
 
 use super::super::work::QueuedInput;
 use super::{EventLoop, HEARTBEAT_INTERVAL};
 
+/// Returns the address of a connected entry as it is in the list of entries.
+fn entry_address(peer: &Peer) -> EntryAddress {
+    EntryAddress {
+        name: peer.name.clone(),
+        peer: peer.address.clone(),
+        http: peer.http.clone(),
+        incarnation: peer.incarnation,
+    }
+}
+
 impl EventLoop {
     pub(super) fn handle_net_event(&mut self, event: NetEvent) {
         match event {
@@ -48,18 +59,37 @@
     ) {
         let worker = peer.worker.clone();
         let heartbeat = self.heartbeat_message(&peer);
+        let address = entry_address(&peer);
         self.peers.add_stream(conn, peer, dialled);
         self.peers.send(conn, heartbeat);
         if let Some(worker) = worker {
-            let entries = self.entries.entries.clone();
-            self.peers.send(conn, Message::Entries(entries));
+            let entries = Message::Entries(self.known_entries());
+            self.peers.send(conn, entries);
             let input = coordinator::Input::AgentUp(worker);
             self.handle_input(QueuedInput::Coordinator(input));
         } else {
+            // It may be the next coordinator, which places jobs as soon as
+            // its rebuild window ends.
+            let message = Message::Entries(vec![address]);
+            self.peers.broadcast(&message, |p| p.worker.is_some());
             self.entry_peers_changed();
         }
     }
 
+    /// Returns the entries in the list from the store and those that are
+    /// connected, which may have started after the list was read.
+    fn known_entries(&self) -> Vec<EntryAddress> {
+        let mut entries = self.entries.entries.clone();
+        let connected = self.peers.connected();
+        for peer in connected.filter(|p| p.worker.is_none()) {
+            let address = entry_address(peer);
+            if !entries.contains(&address) {
+                entries.push(address);
+            }
+        }
+        entries
+    }
+
     pub(super) fn handle_stream_closed(&mut self, conn: ConnId, why: &str) {
         let now = self.now();
         let Some(peer) = self.peers.remove_stream(now, conn, why) else {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -385,6 +385,24 @@
     }
 );
 
+// Without the store, agents learn of the entry only from the other one.
+site_test!(
+    agents_find_an_entry_that_was_restarted_without_the_store,
+    { plan().entries(2) },
+    |mut site| {
+        site.store_fault("down=1");
+        site.entries[1].process.kill();
+        let peer = site.entries[0].peer.clone();
+        site.start_entry_with(1, &format!("entries = {peer}\n"))
+            .expect("the entry starts");
+        let http = site.entries[1].http.clone();
+        wait_for("the agents to connect", Duration::from_secs(10), || {
+            let status = site.operator.get(&http, "/v1/status");
+            (status.body["agents"] == 2).then_some(())
+        });
+    }
+);
+
 site_test!(
     a_gang_runs_after_half_of_the_processes_restart,
     { plan().entries(2).agents(4) },
