Hold callers' requests until the settings are known

For about 10 ms after its start an entry judged requests by empty settings: jobs were refused as unknown_workspace (404, not to be retried), and callers' tokens as unauthorised. It could not tell that it had not read the settings from that there are none.

The settings are now read once before they are watched, and until that or another process has told, requests for jobs are held, for 2 s at most, and then refused with store_down, which says when to retry.

The new test got 404 before.

--- a/crates/node/src/agent/duty.rs
+++ b/crates/node/src/agent/duty.rs
@@ -454,6 +454,7 @@
         self.view.set(SettingsView {
             tree: Arc::new(tree),
             record,
+            known: true,
             draining: self.draining,
         });
         // The next tick informs the peers of the new revision.
@@ -470,6 +471,7 @@
         self.view.set(SettingsView {
             tree: view.tree.clone(),
             record: view.record.clone(),
+            known: view.known,
             draining: true,
         });
         self.handle_input(Input::Drain);
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -21,6 +21,9 @@
     pub(crate) tree: Arc<Tree>,
     /// The record that the settings were parsed from.
     pub(crate) record: SettingsRecord,
+    /// Whether the process has learnt which settings are in force, which may
+    /// also be none.
+    pub(crate) known: bool,
     /// Whether the process is draining.
     pub(crate) draining: bool,
 }
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -1,9 +1,16 @@
 //! The HTTP API of an entry. Parses requests, checks their tokens, and passes
 //! those that need the state machines to the event loop.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use crossbeam::channel::{Receiver, Sender};
+use crossbeam::{
+    channel::{Receiver, Sender, after, never},
+    select,
+};
 use figrill_coordination::entry::{CallId, Input, Submission};
 use figrill_state::{
     error::Kind, event::Code, job::JobId, request::Submit, settings::Tree,
@@ -25,6 +32,19 @@
 /// its state.
 const MAX_POLL_WAIT: Duration = Duration::from_mins(1);
 
+/// How long a caller's request is held if the entry has just started and does
+/// not know the settings yet.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The interval at which held requests are checked.
+const HELD_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A caller's request that waits for the settings.
+struct HeldCall {
+    call: Box<Call>,
+    deadline: Instant,
+}
+
 /// The state of the `api` thread.
 pub(super) struct Api {
     pub(super) calls: Receiver<http::Event>,
@@ -36,19 +56,7 @@
 
 /// Starts the thread. It ends when the HTTP server has ended.
 pub(super) fn start(api: Api) -> io::Result<()> {
-    crate::config::spawn_detached("api", move || {
-        while let Ok(event) = api.calls.recv() {
-            match event {
-                http::Event::Call(call) => api.handle_call(call),
-                http::Event::CallerDisconnected { id } => {
-                    let call = CallId(id);
-                    let _ = api
-                        .commands
-                        .send(Command::CallerDisconnected { call });
-                }
-            }
-        }
-    })
+    crate::config::spawn_detached("api", move || api.run())
 }
 
 /// How a valid request is processed.
@@ -62,6 +70,65 @@
 }
 
 impl Api {
+    /// Handles requests until the HTTP server has ended.
+    fn run(&self) {
+        let mut held = Vec::new();
+        loop {
+            let timer = if held.is_empty() {
+                never()
+            } else {
+                after(HELD_INTERVAL)
+            };
+            select! {
+                recv(self.calls) -> event => match event {
+                    Ok(event) => self.handle_event(event, &mut held),
+                    Err(_) => return,
+                },
+                recv(timer) -> _ => {}
+            }
+            if !held.is_empty() {
+                self.check_held(&mut held);
+            }
+        }
+    }
+
+    fn handle_event(&self, event: http::Event, held: &mut Vec<HeldCall>) {
+        match event {
+            http::Event::Call(call) if self.must_wait(&call) => {
+                let deadline = Instant::now() + SETTINGS_TIMEOUT;
+                held.push(HeldCall { call, deadline });
+            }
+            http::Event::Call(call) => self.handle_call(call),
+            http::Event::CallerDisconnected { id } => {
+                held.retain(|h| h.call.id != id);
+                let call = CallId(id);
+                let command = Command::CallerDisconnected { call };
+                let _ = self.commands.send(command);
+            }
+        }
+    }
+
+    /// Returns whether a request can't be judged yet: without the settings, it
+    /// is unknown which tokens and workspaces there are.
+    fn must_wait(&self, call: &Call) -> bool {
+        call.path.starts_with("/v1/jobs") && !self.view.get().known
+    }
+
+    /// Handles the held requests if the settings are known by now, and refuses
+    /// those that have waited for too long.
+    fn check_held(&self, held: &mut Vec<HeldCall>) {
+        let now = Instant::now();
+        for HeldCall { call, deadline } in std::mem::take(held) {
+            if !self.must_wait(&call) {
+                self.handle_call(call);
+            } else if now < deadline {
+                held.push(HeldCall { call, deadline });
+            } else {
+                refuse_held(*call);
+            }
+        }
+    }
+
     fn handle_call(&self, call: Box<Call>) {
         let view = self.view.get();
         let unhandled =
@@ -240,6 +307,18 @@
     }
 }
 
+/// Refuses a request because the settings could not be learnt in time. The
+/// caller may retry.
+fn refuse_held(call: Call) {
+    let detail = "the settings are not known yet";
+    // Only a submission is known not to have run.
+    call.responder.send(if call.method == "POST" {
+        not_run_answer(Kind::StoreDown, detail, None)
+    } else {
+        refusal_answer(Kind::StoreDown, detail)
+    });
+}
+
 fn job_id(text: &str) -> Result<JobId, Box<Answer>> {
     text.parse().map_err(|e: figrill_state::job::BadJobId| {
         Box::new(refusal_answer(Kind::BadRequest, &e.to_string()))
--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -78,6 +78,9 @@
     record: SettingsRecord,
     /// The settings in force, parsed from `record`.
     tree: Arc<Tree>,
+    /// Whether the store or another process has said which settings are in
+    /// force, which may also be none.
+    settings_known: bool,
     /// The list of entries that was last read from the store.
     entries: EntriesRecord,
     /// The incarnation of the coordinator that the entry sends its jobs to.
@@ -136,6 +139,7 @@
             adoption: AdoptedRevision::new(),
             record: SettingsRecord::default(),
             tree: Arc::default(),
+            settings_known: false,
             entries: EntriesRecord::default(),
             followed: None,
             reported_term: None,
--- a/crates/node/src/entry/duty/stored.rs
+++ b/crates/node/src/entry/duty/stored.rs
@@ -79,9 +79,14 @@
             StoreResult::SettingsApplied { result, responder } => {
                 self.handle_settings_applied(result, responder, queue);
             }
-            StoreResult::SettingsChanged(record) => {
+            StoreResult::SettingsRead(Some(record))
+            | StoreResult::SettingsChanged(record) => {
                 self.adopt_settings(record, queue);
             }
+            StoreResult::SettingsRead(None) => {
+                self.settings_known = true;
+                self.publish_settings_view();
+            }
         }
     }
 
@@ -143,6 +148,7 @@
         self.store.set_adopted_revision(record.revision);
         self.tree = Arc::new(tree);
         self.record = record;
+        self.settings_known = true;
         self.publish_settings_view();
         let input = coordinator::Input::Settings(self.tree.clone());
         queue.push(QueuedInput::Coordinator(input));
@@ -154,6 +160,7 @@
         self.view.set(SettingsView {
             tree: self.tree.clone(),
             record: self.record.clone(),
+            known: self.settings_known,
             draining: self.draining.is_some(),
         });
     }
--- a/crates/node/src/entry/store_calls.rs
+++ b/crates/node/src/entry/store_calls.rs
@@ -122,6 +122,9 @@
         result: Result<SettingsRecord, ApplyError>,
         responder: Responder,
     },
+    /// The settings in the store at the start of this process, if there are
+    /// any.
+    SettingsRead(Option<SettingsRecord>),
     SettingsChanged(SettingsRecord),
 }
 
@@ -468,10 +471,36 @@
         })
     }
 
-    /// Watches the store for new settings and sends them to the event loop.
-    /// The store may return an older record, so only a record whose revision
-    /// is higher than the one in force is sent.
+    /// Reads the settings until the store answers, and sends them to the event
+    /// loop. Returns whether the event loop still runs.
+    fn read_settings(&self) -> bool {
+        loop {
+            let store = self.store.as_ref();
+            let found = ledger::read(store, record::SETTINGS);
+            let label = if found.is_ok() { "ok" } else { "failed" };
+            self.metrics.count_call("settings", label);
+            match found {
+                // A record that can't be read does not say that there are no
+                // settings.
+                Ok(found) if found.record.is_none() && found.version > 0 => {
+                    return true;
+                }
+                Ok(found) => {
+                    let result = StoreResult::SettingsRead(found.record);
+                    return self.results.send(result).is_ok();
+                }
+                Err(_) => wait_before_retry(),
+            }
+        }
+    }
+
+    /// Reads the settings, then watches the store for new ones and sends them
+    /// to the event loop. The store may return an older record, so only a
+    /// record whose revision is higher than the one in force is sent.
     fn watch(&self, adopted_revision: &AtomicU64) {
+        if !self.read_settings() {
+            return;
+        }
         let mut version = 0;
         let mut last_sent = 0;
         loop {
@@ -507,15 +536,18 @@
                     }
                 }
                 Ok(None) => {}
-                Err(_) => {
-                    let jitter = 1.0 + rand::random::<f64>();
-                    thread::sleep(WATCH_RETRY_DELAY.mul_f64(jitter));
-                }
+                Err(_) => wait_before_retry(),
             }
         }
     }
 }
 
+/// Waits before a failed watch or read of the settings is repeated.
+fn wait_before_retry() {
+    let jitter = 1.0 + rand::random::<f64>();
+    thread::sleep(WATCH_RETRY_DELAY.mul_f64(jitter));
+}
+
 /// Returns why a job could not be marked as dispatched, given the record that
 /// the store holds instead of the expected version.
 fn mark_conflict(record: Option<JobRecord>, version: u64) -> MarkError {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -3,9 +3,9 @@
 //! Concurrent changes, lost answers and stale reads of the store must neither
 //! lose a revision nor revert a process to an earlier one.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, thread, time::Duration};
 
-use figrill_standin::process::wait_for;
+use figrill_standin::{caller::echo_job, process::wait_for};
 use figrill_state::{deployment::Deployment, settings::Tree};
 
 use crate::util::plan;
@@ -242,6 +242,29 @@
     }
 );
 
+site_test!(
+    a_restarted_entry_refuses_no_workspace_before_it_knows_the_settings,
+    plan(),
+    |mut site| {
+        site.store_fault("down=1");
+        site.entries[0].process.kill();
+        site.start_entry(0).expect("the entry starts");
+        let http = site.entries[0].http.clone();
+        let job = echo_job("a", 1, 0, "x");
+        let answer = site.operator.submit(&http, &job);
+        assert_eq!(answer.status, 503, "{}", answer.text);
+        assert_eq!(answer.outcome(), "not_run", "{}", answer.text);
+        assert_eq!(answer.body["reason"], "store_down");
+        let answer = thread::scope(|scope| {
+            let caller = scope.spawn(|| site.operator.submit(&http, &job));
+            thread::sleep(Duration::from_millis(200));
+            site.store_fault("down=0");
+            caller.join().expect("the caller thread succeeds")
+        });
+        assert_eq!(answer.outcome(), "done", "{}", answer.text);
+    }
+);
+
 site_test!(
     a_guarantee_that_exceeds_the_capacity_is_refused,
     plan(),
