Do not hand over jobs that ended while they were recorded

Callers' repeatable jobs ran twice although their callers had the answer. An entry that drains writes the records of its open jobs and hands them over. If a job ended while its record was being written, the entry handed it over even so; the record had no outcome, so another entry took the job over and submitted it again.

The entry now writes the outcome to the record instead.

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -219,6 +219,14 @@
         /// The record as it was read.
         record: Box<JobRecord>,
     },
+    /// Write the outcome of a job to its record, which was written too late for
+    /// the coordinator to know of it.
+    SaveOutcome {
+        /// The job that has ended.
+        job: JobId,
+        /// The outcome to write.
+        outcome: Outcome,
+    },
     /// Ask all other entries to take over a job if this entry disconnects. Its
     /// callers were answered that they can poll for the outcome, and without
     /// this no other entry would look for the job until one of them does.
--- a/crates/coordination/src/entry/records.rs
+++ b/crates/coordination/src/entry/records.rs
@@ -237,7 +237,8 @@
 
     /// Handles the result of writing the record of a job that is already
     /// submitted, and then answers its callers that the job was accepted,
-    /// whether or not the record was written.
+    /// whether or not the record was written. A job that has ended meanwhile
+    /// must not be taken over by its record.
     pub(super) fn on_durable_claim(
         &mut self,
         now: Duration,
@@ -248,6 +249,12 @@
             return;
         };
         tracked.wait = Wait::Coordinator;
+        if let Some(outcome) = tracked.outcome.clone() {
+            if let Some(ClaimOutcome::New(_)) = result {
+                self.actions.push(Action::SaveOutcome { job: id, outcome });
+            }
+            return;
+        }
         if let Some(ClaimOutcome::New(version)) = result {
             tracked.durability = tracked.durability.max(Durability::Stored);
             if let Some(job) = &mut tracked.job {
--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -278,6 +278,10 @@
                 };
                 self.queue_store_call(call, queue);
             }
+            entry::Action::SaveOutcome { job, outcome } => {
+                let call = StoreCall::SaveOutcome { job, outcome };
+                self.queue_store_call(call, queue);
+            }
             entry::Action::DelegateJob { job } => {
                 let message = Message::StandbyJobs(vec![job]);
                 self.peers.broadcast(&message, |p| p.worker.is_none());
