Check the agents again after a job's record was marked

A non-repeatable job ended as unknown, outcome_lost, or its caller waited for ever. The coordinator marks the record of such a job before it asks the agents, and did not look at them again after that. If the agent had left meanwhile, the hold went nowhere, and the restart of the agent ended the job as unknown. If the next incarnation had connected, it got the hold by the worker's name and ran the job, but ignored the reports of its own parts, as the hold named the former one: the job stayed running for good.

The coordinator now places the job elsewhere, and an agent refuses a hold that is not meant for its incarnation. Both tests failed without the two checks.

--- a/crates/coordination/src/agent/requests.rs
+++ b/crates/coordination/src/agent/requests.rs
@@ -128,7 +128,12 @@
         let parts = u32::try_from(hold.parts.len()).unwrap_or(u32::MAX);
         let capacity = hold.header.shape.required_capacity(parts);
         let remaining = self.worker.capacity.minus(self.used());
+        let is_member = hold.members.iter().any(|m| {
+            m.worker == self.worker.name
+                && m.incarnation == self.worker.incarnation
+        });
         if self.tombstones.contains(run)
+            || !is_member
             || !remaining.fits(capacity)
             || self.draining
         {
--- a/crates/coordination/src/coordinator/attempts.rs
+++ b/crates/coordination/src/coordinator/attempts.rs
@@ -262,10 +262,28 @@
         }
     }
 
+    /// Returns whether all members can still be asked to hold capacity. An
+    /// agent may have left, or been restarted, since it was chosen.
+    fn can_hold(&self, allocation: &Allocation) -> bool {
+        allocation.members.iter().all(|member| {
+            self.cell.node(&member.worker).is_some_and(|node| {
+                let share = node.runs().get(&allocation.run);
+                node.usable
+                    && node.incarnation == member.incarnation
+                    && share.is_some_and(|s| node.capacity.fits(s.capacity))
+            })
+        })
+    }
+
     /// Asks all members of a gang to hold capacity. A gang on one worker needs
     /// no further request: its agent starts it together with the hold.
     fn send_holds(&mut self, now: Duration, allocation: Allocation) {
         let run = allocation.run;
+        if !self.can_hold(&allocation) {
+            self.deallocate(&allocation);
+            self.requeue(now, run.job, PLACE_RETRY_BACKOFF);
+            return;
+        }
         let Some(state) = self.jobs.get(&run.job) else {
             return;
         };
--- /dev/null
+++ b/crates/coordination/tests/leaving_agents.rs
@@ -0,0 +1,231 @@
+//! Tests of agents that leave while orders are on their way to them.
+
+use std::{sync::Arc, time::Duration};
+
+use figrill_coordination::{
+    agent::{self, Agent},
+    coordinator::{self, Coordinator, REBUILD_WINDOW},
+    message::{AgentRequest, Hold, JobRequest, Run},
+    term,
+};
+use figrill_state::{
+    job::{Adjacency, Class, Job, JobId, Shape},
+    settings::Tree,
+    worker::{Capacity, Place, Worker},
+};
+
+const CAPACITY: Capacity = Capacity {
+    accelerators: 8,
+    slots: 8,
+    memory_mib: 1000,
+};
+
+const JOB: JobId = JobId(1);
+
+/// The incarnation of the coordinator.
+const COORDINATOR: u64 = 1;
+
+/// A coordinator with agents, between which the test carries the messages.
+struct Fixture {
+    now: Duration,
+    coordinator: Coordinator,
+    agents: Vec<Agent>,
+    /// What the coordinator does next, in order.
+    actions: Vec<coordinator::Action>,
+    /// The number of parts that were started.
+    starts: usize,
+}
+
+fn worker(i: usize) -> Worker {
+    Worker {
+        name: format!("w{i}"),
+        incarnation: 100 + i as u64,
+        address: i.to_string(),
+        place: Place {
+            failure_domain: "d".to_owned(),
+            rack: "r".to_owned(),
+        },
+        capacity: CAPACITY,
+    }
+}
+
+/// Returns a job of one part that must not be repeated.
+fn job() -> Job {
+    Job {
+        id: JOB,
+        workspace: "a".to_owned(),
+        service: "s".to_owned(),
+        shape: Shape {
+            parts: 1,
+            accelerators: 1,
+            memory_mib: 0,
+            adjacency: Adjacency::None,
+        },
+        declared: None,
+        deadline: None,
+        class: Class::Normal,
+        repeatable: false,
+        record: Some(1),
+        inputs: vec![Vec::new()],
+    }
+}
+
+impl Fixture {
+    /// Creates a coordinator that has two agents and the job, whose record is
+    /// being marked as dispatched.
+    fn new() -> Self {
+        let now = Duration::ZERO;
+        let mut this = Self {
+            now,
+            coordinator: Coordinator::new(now, term::granted(1), tree()),
+            agents: (0..2).map(|i| Agent::new(worker(i), 0)).collect(),
+            actions: Vec::new(),
+            starts: 0,
+        };
+        for i in 0..2 {
+            this.agent(i, agent::Input::UpstreamAnnounced(CAPACITY));
+            this.connect(i);
+        }
+        this.submit(false);
+        this
+    }
+
+    /// Connects an agent to the coordinator.
+    fn connect(&mut self, i: usize) {
+        self.handle(coordinator::Input::AgentUp(worker(i)));
+        for request in self.requests(i) {
+            self.deliver(i, request);
+        }
+    }
+
+    /// Submits the job at the end of the rebuild window.
+    fn submit(&mut self, maybe_started: bool) {
+        self.now += REBUILD_WINDOW;
+        self.handle(coordinator::Input::Entry {
+            from: 9,
+            request: JobRequest::Submit {
+                job: Box::new(job()),
+                age: Duration::ZERO,
+                maybe_started,
+            },
+        });
+    }
+
+    fn handle(&mut self, input: coordinator::Input) {
+        let actions = self.coordinator.handle(self.now, input);
+        self.actions.extend(actions);
+    }
+
+    /// Handles an input of an agent, and delivers its reports at once.
+    fn agent(&mut self, i: usize, input: agent::Input) {
+        let Worker {
+            name, incarnation, ..
+        } = worker(i);
+        for action in self.agents[i].handle(self.now, input) {
+            match action {
+                agent::Action::Report { report, .. } => {
+                    self.handle(coordinator::Input::Agent {
+                        worker: name.clone(),
+                        incarnation,
+                        report,
+                    });
+                }
+                agent::Action::Start { .. } => self.starts += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, i: usize, request: AgentRequest) {
+        let from = COORDINATOR;
+        self.agent(i, agent::Input::Coordinator { from, request });
+    }
+
+    /// Removes the requests to an agent that were not delivered yet.
+    fn requests(&mut self, i: usize) -> Vec<AgentRequest> {
+        let mut requests = Vec::new();
+        self.actions.retain(|action| match action {
+            coordinator::Action::ToAgent { worker, request }
+                if *worker == format!("w{i}") =>
+            {
+                requests.push(request.clone());
+                false
+            }
+            _ => true,
+        });
+        requests
+    }
+
+    /// Removes the request to mark the job's record, and returns the attempt
+    /// and the index of the agent that is to lead it.
+    fn marking(&mut self) -> (Run, usize) {
+        let mut found = None;
+        self.actions.retain(|action| match action {
+            coordinator::Action::MarkDispatched { run, lead, .. } => {
+                found = Some((*run, usize::from(lead == "w1")));
+                false
+            }
+            _ => true,
+        });
+        found.expect("the record is being marked")
+    }
+
+    fn marked(&mut self, run: Run, version: u64) {
+        let result = Ok(version);
+        self.handle(coordinator::Input::DispatchMarked { run, result });
+    }
+
+    /// Lets time pass until the job is placed again, and returns the index of
+    /// the agent that it is placed on.
+    fn place_again(&mut self) -> usize {
+        self.now += Duration::from_millis(200);
+        self.handle(coordinator::Input::Tick);
+        let (run, i) = self.marking();
+        self.marked(run, 3);
+        i
+    }
+}
+
+fn tree() -> Arc<Tree> {
+    let tree = Tree::parse("[workspace/a]\n", "test");
+    Arc::new(tree.expect("the settings are valid"))
+}
+
+fn hold(requests: &[AgentRequest]) -> Option<&Hold> {
+    requests.iter().find_map(|request| match request {
+        AgentRequest::Hold(hold) => Some(hold),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_job_is_not_sent_to_an_agent_that_was_lost_while_it_was_marked() {
+    let mut fixture = Fixture::new();
+    let (run, i) = fixture.marking();
+    fixture.handle(coordinator::Input::AgentDown {
+        worker: worker(i).name,
+        incarnation: worker(i).incarnation,
+    });
+    fixture.marked(run, 2);
+    assert_eq!(hold(&fixture.requests(i)), None);
+    assert_eq!(fixture.place_again(), 1 - i);
+    assert!(hold(&fixture.requests(1 - i)).is_some());
+}
+
+#[test]
+fn a_hold_for_a_former_incarnation_is_not_started() {
+    let mut fixture = Fixture::new();
+    let (run, i) = fixture.marking();
+    fixture.marked(run, 2);
+    let requests = fixture.requests(i);
+    let restarted = Worker {
+        incarnation: 200,
+        ..worker(i)
+    };
+    fixture.agents[i] = Agent::new(restarted, 0);
+    fixture.agent(i, agent::Input::UpstreamAnnounced(CAPACITY));
+    for request in requests {
+        fixture.deliver(i, request);
+    }
+    assert_eq!(fixture.starts, 0);
+}
