Let a draining agent take leave of the coordinator

A non-repeatable job ended as unknown, outcome_lost, when its agent was drained. The agent ended at the next tick after its last job, while a hold was on its way to it. Nobody could tell then whether the job had started.

An idle agent that drains now reports that it leaves, repeats that, and ends when the coordinator has acknowledged it or is disconnected. The report says that nothing that the agent has not reported was started or will be, so that the coordinator can place the jobs that it sent elsewhere. It needs no report on each of them, which the agent may not live to send. The acknowledgement is held back while the coordinator waits for what the agent knows of a recorded attempt. Both tests failed without the report and the wait.

--- a/benchsuite/src/policy.rs
+++ b/benchsuite/src/policy.rs
@@ -156,7 +156,9 @@
             AgentRequest::Cancel { run, .. } => {
                 orders.push(Order::Stop { job: run.job });
             }
-            AgentRequest::Release { .. } | AgentRequest::Ack { .. } => {}
+            AgentRequest::Release { .. }
+            | AgentRequest::Ack { .. }
+            | AgentRequest::Dismiss { .. } => {}
         }
     }
 
--- a/crates/coordination/src/agent.rs
+++ b/crates/coordination/src/agent.rs
@@ -178,6 +178,19 @@
     /// The attempts whose outcome was acknowledged and discarded.
     acknowledged: Tombstones,
     draining: bool,
+    leave: Leave,
+}
+
+/// How far a draining agent has come with taking leave of the coordinator that
+/// it follows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Leave {
+    /// [`AgentReport::Leaving`] was not sent.
+    Unsaid,
+    /// It was last sent then.
+    Said(Duration),
+    /// The coordinator has acknowledged it.
+    Acknowledged,
 }
 
 /// Collects the actions of one step. Messages from this worker to itself are
@@ -229,6 +242,7 @@
             tombstones: Tombstones::default(),
             acknowledged: Tombstones::default(),
             draining: false,
+            leave: Leave::Unsaid,
         }
     }
 
@@ -253,6 +267,16 @@
             && self.outcomes.is_empty()
     }
 
+    /// Returns whether the agent has drained and can end. A connected
+    /// coordinator knows by then that it places nothing here any more.
+    #[must_use]
+    pub fn has_left(&self) -> bool {
+        self.draining
+            && self.is_idle()
+            && (self.leave == Leave::Acknowledged
+                || !self.coordinator.connected)
+    }
+
     /// Returns the number of an attempt's parts that are granted on this
     /// worker, or 0 if its grant has ended.
     #[must_use]
@@ -276,9 +300,28 @@
         self.expire(now, &mut cx);
         self.dispatch(now, input, &mut cx);
         self.process_local_messages(now, &mut cx);
+        self.take_leave(now, &mut cx);
         cx.actions
     }
 
+    /// Reports that the agent leaves once it has drained, and again until the
+    /// coordinator acknowledges it.
+    fn take_leave(&mut self, now: Duration, cx: &mut Cx) {
+        let due = match self.leave {
+            Leave::Unsaid => true,
+            Leave::Said(at) => now >= at + RESEND_INTERVAL,
+            Leave::Acknowledged => false,
+        };
+        let connected = self.coordinator.connected;
+        if !due || !connected || !self.draining || !self.is_idle() {
+            return;
+        }
+        self.leave = Leave::Said(now);
+        let term = self.coordinator.term;
+        let worker = self.worker.clone();
+        self.report(AgentReport::Leaving { term, worker }, cx);
+    }
+
     fn dispatch(&mut self, now: Duration, input: Input, cx: &mut Cx) {
         match input {
             Input::Tick => {}
@@ -515,7 +558,8 @@
         AgentRequest::Coordinate { term }
         | AgentRequest::Release { term, .. }
         | AgentRequest::StartGang { term, .. }
-        | AgentRequest::Cancel { term, .. } => *term,
+        | AgentRequest::Cancel { term, .. }
+        | AgentRequest::Dismiss { term } => *term,
         AgentRequest::Hold(hold) => hold.term,
         AgentRequest::Ack { .. } => 0,
     }
--- a/crates/coordination/src/agent/requests.rs
+++ b/crates/coordination/src/agent/requests.rs
@@ -11,7 +11,7 @@
 
 use super::grant::Grant;
 use super::lead::Lead;
-use super::{Action, Agent, Coordinator, Cx, term_of};
+use super::{Action, Agent, Coordinator, Cx, Leave, term_of};
 
 impl Agent {
     /// Handles a request of a coordinator. A request under a lower term than
@@ -50,6 +50,7 @@
             connected: true,
         };
         if is_new_term {
+            self.leave = Leave::Unsaid;
             self.release_stale_holds(term, cx);
         }
         match request {
@@ -72,6 +73,11 @@
             } => {
                 self.cancel(now, run, reason, window, cx);
             }
+            AgentRequest::Dismiss { .. } => {
+                if let Leave::Said(_) = self.leave {
+                    self.leave = Leave::Acknowledged;
+                }
+            }
             AgentRequest::Ack { .. } => {}
         }
     }
--- a/crates/coordination/src/coordinator/attempts.rs
+++ b/crates/coordination/src/coordinator/attempts.rs
@@ -363,6 +363,11 @@
                 self.cell.update(&worker);
                 self.pass_needed = true;
             }
+            AgentReport::Leaving { term, worker } => {
+                if term == self.term {
+                    self.handle_leaving(now, &worker);
+                }
+            }
             AgentReport::Held { run } => {
                 self.handle_hold_accepted(worker, run);
             }
@@ -434,7 +439,12 @@
 
     /// Handles the refusal of a hold. The job is requeued, since a gang starts
     /// as a whole or not at all.
-    fn handle_hold_refused(&mut self, now: Duration, worker: &str, run: Run) {
+    pub(super) fn handle_hold_refused(
+        &mut self,
+        now: Duration,
+        worker: &str,
+        run: Run,
+    ) {
         if !self.is_current(run) {
             return;
         }
--- a/crates/coordination/src/coordinator/rebuild.rs
+++ b/crates/coordination/src/coordinator/rebuild.rs
@@ -96,6 +96,43 @@
         }
     }
 
+    /// Handles the report of an agent that is idle and grants nothing more. It
+    /// refuses every hold that is on its way to it, and may end before it can
+    /// say so.
+    pub(super) fn handle_leaving(&mut self, now: Duration, worker: &Worker) {
+        let (name, incarnation) = (&worker.name, worker.incarnation);
+        let node = self.cell.node(name);
+        if node.is_some_and(|n| n.incarnation == incarnation) {
+            self.cell.update(worker);
+            self.pass_needed = true;
+        }
+        let refused: Vec<Run> =
+            self.jobs
+                .values()
+                .filter_map(JobState::allocation)
+                .filter(|allocation| {
+                    allocation.members.iter().any(|m| {
+                        m.worker == *name && m.incarnation == incarnation
+                    })
+                })
+                .map(|allocation| allocation.run)
+                .collect();
+        for run in refused {
+            self.handle_hold_refused(now, name, run);
+        }
+        // The agent sends the report again, and stays until it has told what
+        // became of the attempts that it is asked about.
+        let queried = self.jobs.values().any(|state| {
+            matches!(&state.phase, Phase::Unreported { dispatched, .. }
+                if dispatched.lead == *name
+                    && dispatched.incarnation == incarnation)
+        });
+        if !queried {
+            let term = self.term;
+            self.send_to_agent(name, AgentRequest::Dismiss { term });
+        }
+    }
+
     /// Handles an agent's full report, which replaces everything that was
     /// known of its worker.
     pub(super) fn handle_full_report(
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -141,6 +141,11 @@
         /// The attempt whose outcome is acknowledged.
         run: Run,
     },
+    /// Acknowledges [`AgentReport::Leaving`], so that the agent can end.
+    Dismiss {
+        /// The term of the coordinator that received the report.
+        term: u64,
+    },
 }
 
 /// The outcome of an attempt, as its lead reports it.
@@ -249,6 +254,15 @@
         /// The attempt that the capacity was granted to.
         run: Run,
     },
+    /// The agent drains and is idle: it has no grant and no unacknowledged
+    /// outcome, and grants nothing more. It ends once this is acknowledged by
+    /// [`AgentRequest::Dismiss`].
+    Leaving {
+        /// The term of the coordinator that this is sent to.
+        term: u64,
+        /// The current description of the worker.
+        worker: Worker,
+    },
 }
 
 /// A message from the lead of a gang to a member.
--- a/crates/coordination/tests/leaving_agents.rs
+++ b/crates/coordination/tests/leaving_agents.rs
@@ -5,7 +5,7 @@
 use figrill_coordination::{
     agent::{self, Agent},
     coordinator::{self, Coordinator, REBUILD_WINDOW},
-    message::{AgentRequest, Hold, JobRequest, Run},
+    message::{AgentReport, AgentRequest, Hold, JobRequest, Run},
     term,
 };
 use figrill_state::{
@@ -212,6 +212,55 @@
     assert!(hold(&fixture.requests(1 - i)).is_some());
 }
 
+#[test]
+fn a_job_on_its_way_to_an_agent_that_leaves_is_placed_elsewhere() {
+    let mut fixture = Fixture::new();
+    let (run, i) = fixture.marking();
+    fixture.marked(run, 2);
+    let on_their_way = fixture.requests(i);
+    assert!(hold(&on_their_way).is_some());
+    fixture.agent(i, agent::Input::Drain);
+    assert!(!fixture.agents[i].has_left());
+    // The agent may end without having received the hold.
+    let dismissal = fixture.requests(i);
+    assert_eq!(fixture.place_again(), 1 - i);
+    let requests = fixture.requests(1 - i);
+    assert!(hold(&requests).is_some());
+    for request in requests {
+        fixture.deliver(1 - i, request);
+    }
+    for request in on_their_way.into_iter().chain(dismissal) {
+        fixture.deliver(i, request);
+    }
+    assert!(fixture.agents[i].has_left());
+    assert_eq!(fixture.starts, 1);
+}
+
+#[test]
+fn an_agent_that_drains_leaves_only_when_the_coordinator_knows() {
+    let mut fixture = Fixture::new();
+    let drain =
+        |agent: &mut Agent, now| agent.handle(now, agent::Input::Drain);
+    let says = |actions: &[agent::Action]| {
+        actions.iter().any(|action| {
+            let agent::Action::Report { report, .. } = action else {
+                return false;
+            };
+            matches!(report, AgentReport::Leaving { .. })
+        })
+    };
+    let now = fixture.now;
+    let agent = &mut fixture.agents[0];
+    assert!(says(&drain(agent, now)));
+    let now = now + agent::RESEND_INTERVAL;
+    assert!(says(&agent.handle(now, agent::Input::Tick)));
+    assert!(!agent.has_left());
+    // A coordinator that is lost cannot be told.
+    let from = COORDINATOR;
+    agent.handle(now, agent::Input::CoordinatorDisconnected { from });
+    assert!(agent.has_left());
+}
+
 #[test]
 fn a_hold_for_a_former_incarnation_is_not_started() {
     let mut fixture = Fixture::new();
--- a/crates/node/src/agent/duty.rs
+++ b/crates/node/src/agent/duty.rs
@@ -495,9 +495,7 @@
             self.peers.send_heartbeats(|_| self.heartbeat_message());
             self.update_gauges();
         }
-        let drained = self.draining
-            && self.agent.is_idle()
-            && self.peers.net().is_flushed();
+        let drained = self.agent.has_left() && self.peers.net().is_flushed();
         if drained {
             self.server.stop();
             self.journal.record_event(Code::ProcessStopped, "");
--- a/crates/protocol/src/wire/agent.rs
+++ b/crates/protocol/src/wire/agent.rs
@@ -344,6 +344,9 @@
     Ack {
         run: Run,
     },
+    Dismiss {
+        term: u64,
+    },
 }
 
 impl From<figrill_coordination::message::AgentRequest> for AgentRequest {
@@ -372,6 +375,7 @@
                 window,
             },
             D::Ack { run } => Self::Ack { run: run.into() },
+            D::Dismiss { term } => Self::Dismiss { term },
         }
     }
 }
@@ -404,6 +408,7 @@
             AgentRequest::Ack { run } => Self::Ack {
                 run: run.try_into()?,
             },
+            AgentRequest::Dismiss { term } => Self::Dismiss { term },
         })
     }
 }
@@ -438,6 +443,10 @@
     Freed {
         run: Run,
     },
+    Leaving {
+        term: u64,
+        worker: Worker,
+    },
 }
 
 impl From<figrill_coordination::message::AgentReport> for AgentReport {
@@ -467,6 +476,10 @@
                 outcome: outcome.into(),
             },
             D::Freed { run } => Self::Freed { run: run.into() },
+            D::Leaving { term, worker } => Self::Leaving {
+                term,
+                worker: worker.into(),
+            },
         }
     }
 }
@@ -506,6 +519,10 @@
             AgentReport::Freed { run } => Self::Freed {
                 run: run.try_into()?,
             },
+            AgentReport::Leaving { term, worker } => Self::Leaving {
+                term,
+                worker: worker.try_into()?,
+            },
         })
     }
 }
