Let a draining coordinator finish what it began

A non-repeatable job ended as unknown, outcome_lost, when the coordinator was drained. It gave up the term at once, also while it marked records. The store marked these as dispatched, but the holds were never sent. The next coordinator could only learn that the attempt had not started, and had no request to place the job by.

It now places nothing more, and gives up the term once no record is being marked and no gang waits for its holds, and all messages are sent.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -127,6 +127,8 @@
     },
     /// New settings apply from now on.
     Settings(Arc<Tree>),
+    /// The process drains: no further job is placed.
+    Drain,
 }
 
 /// Why a job's record was not marked as dispatched.
@@ -237,6 +239,7 @@
     wake_at: Option<Duration>,
     /// Whether [`Self::handle`] must run a scheduling pass.
     pass_needed: bool,
+    draining: bool,
     actions: Vec<Action>,
 }
 
@@ -267,6 +270,7 @@
             next_pass_at: now,
             wake_at: Some(now + REBUILD_WINDOW),
             pass_needed: false,
+            draining: false,
             actions: Vec::new(),
         };
         this.apply_settings(tree);
@@ -304,6 +308,17 @@
         self.guarantees.idle(workspace)
     }
 
+    /// Returns whether every attempt that was begun has been handed to its
+    /// agents. The next coordinator can't tell whether one of the others has
+    /// started.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        !self.active.iter().any(|job| {
+            let phase = self.jobs.get(job).map(|state| &state.phase);
+            matches!(phase, Some(Phase::Marking(..) | Phase::Holding { .. }))
+        })
+    }
+
     /// Returns the counts for operators.
     #[must_use]
     pub fn summary(&self) -> Summary {
@@ -346,6 +361,7 @@
                 self.handle_save_result(now, job, ok);
             }
             Input::Settings(tree) => self.apply_settings(tree),
+            Input::Drain => self.draining = true,
         }
         if std::mem::take(&mut self.pass_needed) {
             self.schedule(now);
--- a/crates/coordination/src/coordinator/attempts.rs
+++ b/crates/coordination/src/coordinator/attempts.rs
@@ -149,6 +149,11 @@
     /// holds otherwise.
     fn mark_or_hold(&mut self, now: Duration, allocation: Allocation) {
         let run = allocation.run;
+        if self.draining {
+            self.deallocate(&allocation);
+            self.requeue(now, run.job, Duration::ZERO);
+            return;
+        }
         let state = self.jobs.get(&run.job);
         let version = state.and_then(|s| s.job.as_ref()?.record);
         let lead = allocation.lead().cloned();
--- a/crates/coordination/src/coordinator/schedule.rs
+++ b/crates/coordination/src/coordinator/schedule.rs
@@ -90,7 +90,8 @@
     /// Runs one scheduling pass, which places all queued jobs that can be
     /// placed now.
     pub(super) fn schedule(&mut self, now: Duration) {
-        if now < self.rebuild_until || self.queue.is_empty() {
+        let rebuilding = now < self.rebuild_until;
+        if rebuilding || self.draining || self.queue.is_empty() {
             return;
         }
         self.refresh_usable(now);
--- a/crates/coordination/tests/leaving_agents.rs
+++ b/crates/coordination/tests/leaving_agents.rs
@@ -261,6 +261,17 @@
     assert!(agent.has_left());
 }
 
+#[test]
+fn a_coordinator_that_drains_sends_what_it_began() {
+    let mut fixture = Fixture::new();
+    let (run, i) = fixture.marking();
+    fixture.handle(coordinator::Input::Drain);
+    assert!(!fixture.coordinator.is_settled());
+    fixture.marked(run, 2);
+    assert!(hold(&fixture.requests(i)).is_some());
+    assert!(fixture.coordinator.is_settled());
+}
+
 #[test]
 fn a_hold_for_a_former_incarnation_is_not_started() {
     let mut fixture = Fixture::new();
--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -483,7 +483,20 @@
             this.queue_store_call(call, queue);
         });
         self.handle_input(QueuedInput::Entry(entry::Input::Drain));
-        self.handle_input(QueuedInput::Election(term::Input::Drain));
+        let input = coordinator::Input::Drain;
+        self.handle_input(QueuedInput::Coordinator(input));
+        self.hand_over();
+    }
+
+    /// Gives up the term for good, once the local coordinator has sent all
+    /// that it began.
+    fn hand_over(&mut self) {
+        let done = self.coordinator.as_ref().is_none_or(|coordinator| {
+            coordinator.is_settled() && self.peers.net().is_flushed()
+        });
+        if done {
+            self.handle_input(QueuedInput::Election(term::Input::Drain));
+        }
     }
 
     /// Checks all deadlines. Returns `true` once the process has drained.
@@ -493,6 +506,9 @@
         self.handle_input(QueuedInput::Coordinator(coordinator::Input::Tick));
         self.handle_input(QueuedInput::Entry(entry::Input::Tick));
         self.peers.dial_due_targets(now);
+        if self.draining.is_some() {
+            self.hand_over();
+        }
         if now >= self.next_heartbeat {
             self.send_heartbeats();
             self.update_gauges();
@@ -511,13 +527,16 @@
         self.has_drained(now)
     }
 
-    /// Returns whether the process is draining and can end: no call or job is
-    /// open, or [`DRAIN_TIMEOUT`] has passed, and all messages were sent.
+    /// Returns whether the process is draining and can end: it does not
+    /// coordinate and no call or job is open, or [`DRAIN_TIMEOUT`] has passed,
+    /// and all messages were sent.
     fn has_drained(&self, now: Duration) -> bool {
         let Some(since) = self.draining else {
             return false;
         };
-        let idle = self.responders.is_empty() && self.entry.open_jobs() == 0;
+        let idle = self.responders.is_empty()
+            && self.entry.open_jobs() == 0
+            && self.coordinator.is_none();
         let timed_out = now >= since + DRAIN_TIMEOUT;
         if !idle && !timed_out {
             return false;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -385,6 +385,31 @@
     }
 );
 
+site_test!(
+    a_job_being_dispatched_survives_the_drain_of_the_coordinator,
+    { plan().entries(2) },
+    |site| {
+        let coordinator = site.coordinator().expect("there is a coordinator");
+        let http = site.entries[coordinator].http.clone();
+        site.store.faults().delay = Duration::from_millis(100);
+        let mut job = echo_job("a", 1, 0, "once");
+        job["repeatable"] = json!(false);
+        let answer = thread::scope(|scope| {
+            let caller = scope.spawn(|| site.operator.submit(&http, &job));
+            wait_for("the job to be placed", Duration::from_secs(10), || {
+                let events = site.events();
+                events.iter().any(|e| e.name == "JobPlaced").then_some(())
+            });
+            site.entries[coordinator].process.terminate();
+            caller.join().expect("the caller thread succeeds")
+        });
+        let other = [site.entries[1 - coordinator].http.clone()];
+        let answer = site.operator.follow(&other, answer);
+        assert_eq!(answer.outcome(), "done", "{}", answer.text);
+        assert_eq!(site.starts().len(), 1);
+    }
+);
+
 // Without the store, agents learn of the entry only from the other one.
 site_test!(
     agents_find_an_entry_that_was_restarted_without_the_store,
