Keep an outcome that comes while its job is placed again

A non-repeatable job that was done ended as unknown, outcome_lost. A new coordinator, which an agent had not found yet, placed the job again, and while it marked the record the agent reported the outcome. It was acknowledged as stale and so discarded. Then the store answered that the earlier attempt was dispatched, and the agent no longer knew its outcome.

An attempt that no agent was asked for is now given up for an earlier one that an agent reports. Nothing is lost by that: it has not started anywhere. The test failed without it.

--- a/crates/coordination/src/coordinator/job_state.rs
+++ b/crates/coordination/src/coordinator/job_state.rs
@@ -175,6 +175,17 @@
         matches!(self.phase, Phase::Started { .. } | Phase::Unreported { .. })
     }
 
+    /// Returns the allocation of its current attempt if no agent was asked to
+    /// hold capacity for it.
+    #[must_use]
+    pub const fn unsent_allocation(&self) -> Option<&Allocation> {
+        match &self.phase {
+            Phase::Reclaiming { allocation, .. }
+            | Phase::Marking(allocation, _) => Some(allocation),
+            _ => None,
+        }
+    }
+
     /// Returns whether the job waits for capacity.
     #[must_use]
     pub const fn is_queued(&self) -> bool {
--- a/crates/coordination/src/coordinator/rebuild.rs
+++ b/crates/coordination/src/coordinator/rebuild.rs
@@ -262,9 +262,24 @@
             placed_at,
             backfill_for: None,
         };
+        self.withdraw_unsent(run);
         self.adopt_run(run, grant.header, &allocation);
     }
 
+    /// Gives up the current attempt of a job for the earlier attempt `run`,
+    /// which may have run, if no agent was asked to hold capacity for it yet.
+    fn withdraw_unsent(&mut self, run: Run) {
+        let state = self.jobs.get(&run.job);
+        let unsent = state.and_then(JobState::unsent_allocation);
+        let Some(allocation) = unsent.filter(|a| a.run != run).cloned() else {
+            return;
+        };
+        self.deallocate(&allocation);
+        if let Some(state) = self.jobs.get_mut(&run.job) {
+            state.phase = Phase::Queued;
+        }
+    }
+
     /// Makes a running attempt its job's current one, unless a newer attempt
     /// is known.
     fn adopt_run(
@@ -334,6 +349,7 @@
         header: JobHeader,
         outcome: RunOutcome,
     ) {
+        self.withdraw_unsent(run);
         self.leads.insert(run, worker.to_owned());
         let known = self.jobs.get(&run.job);
         let unassigned = known.is_none_or(|s| {
--- a/crates/coordination/tests/leaving_agents.rs
+++ b/crates/coordination/tests/leaving_agents.rs
@@ -3,13 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use figrill_coordination::{
-    agent::{self, Agent},
+    agent::{self, Agent, PartId, grant::PartEvent},
     coordinator::{self, Coordinator, REBUILD_WINDOW},
     message::{AgentReport, AgentRequest, Hold, JobRequest, Run},
     term,
 };
 use figrill_state::{
-    job::{Adjacency, Class, Job, JobId, Shape},
+    job::{Adjacency, Class, Job, JobId, Outcome, Shape},
     settings::Tree,
     worker::{Capacity, Place, Worker},
 };
@@ -261,6 +261,30 @@
     assert!(agent.has_left());
 }
 
+#[test]
+fn an_outcome_that_is_reported_while_the_job_is_marked_again_is_kept() {
+    let mut fixture = Fixture::new();
+    let (run, i) = fixture.marking();
+    fixture.marked(run, 2);
+    for request in fixture.requests(i) {
+        fixture.deliver(i, request);
+    }
+    let part = PartId { run, rank: 0 };
+    let event = PartEvent::Answered(b"1".to_vec());
+    let input = agent::Input::Part { part, event };
+    fixture.agents[i].handle(fixture.now, input);
+    // The next coordinator hears of the agent that ran the job last.
+    fixture.coordinator =
+        Coordinator::new(fixture.now, term::granted(2), tree());
+    fixture.actions.clear();
+    fixture.connect(1 - i);
+    fixture.submit(true);
+    assert_eq!(fixture.marking().1, 1 - i);
+    fixture.connect(i);
+    let outcome = fixture.coordinator.jobs()[&JOB].outcome();
+    assert!(matches!(outcome, Some(Outcome::Done(_))), "{outcome:?}");
+}
+
 #[test]
 fn a_coordinator_that_drains_sends_what_it_began() {
     let mut fixture = Fixture::new();
