Let only an entry that knows the settings coordinate

Jobs ended as unknown, unknown_workspace, or were refused with 404, when an entry took the term before it had read the settings: its coordinator looked up their workspaces in empty settings.

The election now waits until the settings are known, which may also be that there are none. The new test failed before: without the store, an entry that had just started took a provisional term.

--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -502,7 +502,10 @@
     /// Checks all deadlines. Returns `true` once the process has drained.
     fn tick(&mut self) -> bool {
         let now = self.now();
-        self.handle_input(QueuedInput::Election(term::Input::Tick));
+        // A coordinator without the settings would refuse all jobs.
+        if self.settings_known {
+            self.handle_input(QueuedInput::Election(term::Input::Tick));
+        }
         self.handle_input(QueuedInput::Coordinator(coordinator::Input::Tick));
         self.handle_input(QueuedInput::Entry(entry::Input::Tick));
         self.peers.dial_due_targets(now);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, thread, time::Duration};
 
+use figrill_coordination::term::ELECTION_TIMEOUT;
 use figrill_standin::{caller::echo_job, process::wait_for};
 use figrill_state::{deployment::Deployment, settings::Tree};
 
@@ -265,6 +266,21 @@
     }
 );
 
+site_test!(
+    an_entry_does_not_coordinate_before_it_knows_the_settings,
+    plan(),
+    |mut site| {
+        site.store_fault("down=1");
+        site.entries[0].process.kill();
+        site.start_entry(0).expect("the entry starts");
+        // Without a store and other entries, it would take a provisional term.
+        thread::sleep(ELECTION_TIMEOUT + Duration::from_secs(2));
+        assert_eq!(site.coordinator(), None);
+        site.store_fault("down=0");
+        site.wait_for_workers(2);
+    }
+);
+
 site_test!(
     a_guarantee_that_exceeds_the_capacity_is_refused,
     plan(),
