Place a job again if its record names a given-up attempt

A job ended as unknown, outcome_lost, when the store answered late: the coordinator gave up the attempt whose mark was not answered, placed the job again, and found the record marked with the earlier attempt. It asked the lead of that one, and if that agent had been restarted meanwhile, took the outcome for lost.

An attempt of the coordinator's own term that is not the current one was given up by itself, which it does only if another attempt may follow. It now places the job again with the record's new version.

--- a/crates/coordination/src/coordinator/attempts.rs
+++ b/crates/coordination/src/coordinator/attempts.rs
@@ -221,6 +221,17 @@
                 self.deallocate(&allocation);
                 self.end(now, run.job, outcome, None);
             }
+            // The store has marked an earlier attempt late. This coordinator
+            // has given that attempt up, and knows that it may place another.
+            Err(MarkError::Dispatched(dispatched, version))
+                if dispatched.attempt.term() == self.term =>
+            {
+                self.deallocate(&allocation);
+                if let Some(job) = self.job_mut(run.job) {
+                    job.record = Some(version);
+                }
+                self.requeue(now, run.job, PLACE_RETRY_BACKOFF);
+            }
             Err(MarkError::Dispatched(dispatched, version)) => {
                 self.deallocate(&allocation);
                 if let Some(job) = &mut self.job_mut(run.job) {
--- a/crates/coordination/tests/leaving_agents.rs
+++ b/crates/coordination/tests/leaving_agents.rs
@@ -4,8 +4,8 @@
 
 use figrill_coordination::{
     agent::{self, Agent, PartId, grant::PartEvent},
-    coordinator::{self, Coordinator, REBUILD_WINDOW},
-    message::{AgentReport, AgentRequest, Hold, JobRequest, Run},
+    coordinator::{self, Coordinator, MarkError, REBUILD_WINDOW},
+    message::{AgentReport, AgentRequest, Dispatched, Hold, JobRequest, Run},
     term,
 };
 use figrill_state::{
@@ -296,6 +296,50 @@
     assert!(fixture.coordinator.is_settled());
 }
 
+#[test]
+fn a_job_whose_record_names_a_given_up_attempt_is_placed_again() {
+    let mut fixture = Fixture::new();
+    let (run, i) = fixture.marking();
+    let result = Err(MarkError::Unavailable);
+    fixture.handle(coordinator::Input::DispatchMarked { run, result });
+    let Worker {
+        name, incarnation, ..
+    } = worker(i);
+    fixture.handle(coordinator::Input::AgentDown {
+        worker: name.clone(),
+        incarnation,
+    });
+    // The agent of the attempt is gone for good.
+    let restarted = Worker {
+        incarnation: 200,
+        ..worker(i)
+    };
+    fixture.handle(coordinator::Input::Agent {
+        worker: name.clone(),
+        incarnation: 200,
+        report: AgentReport::Full {
+            term: fixture.coordinator.term(),
+            worker: restarted,
+            grants: Vec::new(),
+            outcomes: Vec::new(),
+        },
+    });
+    fixture.now += Duration::from_secs(2);
+    fixture.handle(coordinator::Input::Tick);
+    let (next, _) = fixture.marking();
+    let dispatched = Dispatched {
+        attempt: run.attempt,
+        lead: name,
+        incarnation,
+    };
+    let result = Err(MarkError::Dispatched(dispatched, 2));
+    let run = next;
+    fixture.handle(coordinator::Input::DispatchMarked { run, result });
+    fixture.place_again();
+    let outcome = fixture.coordinator.jobs()[&JOB].outcome();
+    assert_eq!(outcome, None);
+}
+
 #[test]
 fn a_hold_for_a_former_incarnation_is_not_started() {
     let mut fixture = Fixture::new();
