--- a/crates/coordination/src/agent/requests.rs
+++ b/crates/coordination/src/agent/requests.rs
@@ -11,7 +11,7 @@
 
 use super::grant::Grant;
 use super::lead::Lead;
-use super::{Action, Agent, Coordinator, Cx, term_of};
+use super::{Action, Agent, Coordinator, Cx, Leave, term_of};
 
 impl Agent {
     /// Handles a request of a coordinator. A request under a lower term than
@@ -50,6 +50,7 @@
             connected: true,
         };
         if is_new_term {
+            self.leave = Leave::Unsaid;
             self.release_stale_holds(term, cx);
         }
         match request {
@@ -72,6 +73,11 @@
             } => {
                 self.cancel(now, run, reason, window, cx);
             }
+            AgentRequest::Dismiss { .. } => {
+                if let Leave::Said(_) = self.leave {
+                    self.leave = Leave::Acknowledged;
+                }
+            }
             AgentRequest::Ack { .. } => {}
         }
     }
@@ -128,7 +134,12 @@
         let parts = u32::try_from(hold.parts.len()).unwrap_or(u32::MAX);
         let capacity = hold.header.shape.required_capacity(parts);
         let remaining = self.worker.capacity.minus(self.used());
+        let is_member = hold.members.iter().any(|m| {
+            m.worker == self.worker.name
+                && m.incarnation == self.worker.incarnation
+        });
         if self.tombstones.contains(run)
+            || !is_member
             || !remaining.fits(capacity)
             || self.draining
         {
--- a/crates/coordination/src/coordinator/attempts.rs
+++ b/crates/coordination/src/coordinator/attempts.rs
@@ -149,6 +149,11 @@
     /// holds otherwise.
     fn mark_or_hold(&mut self, now: Duration, allocation: Allocation) {
         let run = allocation.run;
+        if self.draining {
+            self.deallocate(&allocation);
+            self.requeue(now, run.job, Duration::ZERO);
+            return;
+        }
         let state = self.jobs.get(&run.job);
         let version = state.and_then(|s| s.job.as_ref()?.record);
         let lead = allocation.lead().cloned();
@@ -216,6 +221,17 @@
                 self.deallocate(&allocation);
                 self.end(now, run.job, outcome, None);
             }
+            // The store has marked an earlier attempt late. This coordinator
+            // has given that attempt up, and knows that it may place another.
+            Err(MarkError::Dispatched(dispatched, version))
+                if dispatched.attempt.term() == self.term =>
+            {
+                self.deallocate(&allocation);
+                if let Some(job) = self.job_mut(run.job) {
+                    job.record = Some(version);
+                }
+                self.requeue(now, run.job, PLACE_RETRY_BACKOFF);
+            }
             Err(MarkError::Dispatched(dispatched, version)) => {
                 self.deallocate(&allocation);
                 if let Some(job) = &mut self.job_mut(run.job) {
@@ -262,10 +278,28 @@
         }
     }
 
+    /// Returns whether all members can still be asked to hold capacity. An
+    /// agent may have left, or been restarted, since it was chosen.
+    fn can_hold(&self, allocation: &Allocation) -> bool {
+        allocation.members.iter().all(|member| {
+            self.cell.node(&member.worker).is_some_and(|node| {
+                let share = node.runs().get(&allocation.run);
+                node.usable
+                    && node.incarnation == member.incarnation
+                    && share.is_some_and(|s| node.capacity.fits(s.capacity))
+            })
+        })
+    }
+
     /// Asks all members of a gang to hold capacity. A gang on one worker needs
     /// no further request: its agent starts it together with the hold.
     fn send_holds(&mut self, now: Duration, allocation: Allocation) {
         let run = allocation.run;
+        if !self.can_hold(&allocation) {
+            self.deallocate(&allocation);
+            self.requeue(now, run.job, PLACE_RETRY_BACKOFF);
+            return;
+        }
         let Some(state) = self.jobs.get(&run.job) else {
             return;
         };
@@ -345,6 +379,11 @@
                 self.cell.update(&worker);
                 self.pass_needed = true;
             }
+            AgentReport::Leaving { term, worker } => {
+                if term == self.term {
+                    self.handle_leaving(now, &worker);
+                }
+            }
             AgentReport::Held { run } => {
                 self.handle_hold_accepted(worker, run);
             }
@@ -416,7 +455,12 @@
 
     /// Handles the refusal of a hold. The job is requeued, since a gang starts
     /// as a whole or not at all.
-    fn handle_hold_refused(&mut self, now: Duration, worker: &str, run: Run) {
+    pub(super) fn handle_hold_refused(
+        &mut self,
+        now: Duration,
+        worker: &str,
+        run: Run,
+    ) {
         if !self.is_current(run) {
             return;
         }
--- a/crates/node/src/agent/duty.rs
+++ b/crates/node/src/agent/duty.rs
@@ -454,6 +454,7 @@
         self.view.set(SettingsView {
             tree: Arc::new(tree),
             record,
+            known: true,
             draining: self.draining,
         });
         // The next tick informs the peers of the new revision.
@@ -470,6 +471,7 @@
         self.view.set(SettingsView {
             tree: view.tree.clone(),
             record: view.record.clone(),
+            known: view.known,
             draining: true,
         });
         self.handle_input(Input::Drain);
@@ -493,9 +495,7 @@
             self.peers.send_heartbeats(|_| self.heartbeat_message());
             self.update_gauges();
         }
-        let drained = self.draining
-            && self.agent.is_idle()
-            && self.peers.net().is_flushed();
+        let drained = self.agent.has_left() && self.peers.net().is_flushed();
         if drained {
             self.server.stop();
             self.journal.record_event(Code::ProcessStopped, "");
--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -78,6 +78,9 @@
     record: SettingsRecord,
     /// The settings in force, parsed from `record`.
     tree: Arc<Tree>,
+    /// Whether the store or another process has said which settings are in
+    /// force, which may also be none.
+    settings_known: bool,
     /// The list of entries that was last read from the store.
     entries: EntriesRecord,
     /// The incarnation of the coordinator that the entry sends its jobs to.
@@ -136,6 +139,7 @@
             adoption: AdoptedRevision::new(),
             record: SettingsRecord::default(),
             tree: Arc::default(),
+            settings_known: false,
             entries: EntriesRecord::default(),
             followed: None,
             reported_term: None,
@@ -274,6 +278,10 @@
                 };
                 self.queue_store_call(call, queue);
             }
+            entry::Action::SaveOutcome { job, outcome } => {
+                let call = StoreCall::SaveOutcome { job, outcome };
+                self.queue_store_call(call, queue);
+            }
             entry::Action::DelegateJob { job } => {
                 let message = Message::StandbyJobs(vec![job]);
                 self.peers.broadcast(&message, |p| p.worker.is_none());
@@ -475,16 +483,35 @@
             this.queue_store_call(call, queue);
         });
         self.handle_input(QueuedInput::Entry(entry::Input::Drain));
-        self.handle_input(QueuedInput::Election(term::Input::Drain));
+        let input = coordinator::Input::Drain;
+        self.handle_input(QueuedInput::Coordinator(input));
+        self.hand_over();
+    }
+
+    /// Gives up the term for good, once the local coordinator has sent all
+    /// that it began.
+    fn hand_over(&mut self) {
+        let done = self.coordinator.as_ref().is_none_or(|coordinator| {
+            coordinator.is_settled() && self.peers.net().is_flushed()
+        });
+        if done {
+            self.handle_input(QueuedInput::Election(term::Input::Drain));
+        }
     }
 
     /// Checks all deadlines. Returns `true` once the process has drained.
     fn tick(&mut self) -> bool {
         let now = self.now();
-        self.handle_input(QueuedInput::Election(term::Input::Tick));
+        // A coordinator without the settings would refuse all jobs.
+        if self.settings_known {
+            self.handle_input(QueuedInput::Election(term::Input::Tick));
+        }
         self.handle_input(QueuedInput::Coordinator(coordinator::Input::Tick));
         self.handle_input(QueuedInput::Entry(entry::Input::Tick));
         self.peers.dial_due_targets(now);
+        if self.draining.is_some() {
+            self.hand_over();
+        }
         if now >= self.next_heartbeat {
             self.send_heartbeats();
             self.update_gauges();
@@ -503,13 +530,16 @@
         self.has_drained(now)
     }
 
-    /// Returns whether the process is draining and can end: no call or job is
-    /// open, or [`DRAIN_TIMEOUT`] has passed, and all messages were sent.
+    /// Returns whether the process is draining and can end: it does not
+    /// coordinate and no call or job is open, or [`DRAIN_TIMEOUT`] has passed,
+    /// and all messages were sent.
     fn has_drained(&self, now: Duration) -> bool {
         let Some(since) = self.draining else {
             return false;
         };
-        let idle = self.responders.is_empty() && self.entry.open_jobs() == 0;
+        let idle = self.responders.is_empty()
+            && self.entry.open_jobs() == 0
+            && self.coordinator.is_none();
         let timed_out = now >= since + DRAIN_TIMEOUT;
         if !idle && !timed_out {
             return false;
