Let a deployment switch features of the scheduler on

Cause: what the scheduler learns next must not change deployments that do not ask for it. Change: a section [features] of the settings file, checked like [limits], and Scheduler::with_features. No feature has an effect yet.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -18,6 +18,7 @@
     batch::{Batch, BatchId, Progress, TaskId},
     catalog::Workspace,
     event::{Code, NewEvent},
+    features::Features,
     job::JobId,
     limits::Limits,
 };
@@ -96,6 +97,7 @@
 pub struct Scheduler {
     token: u64,
     limits: Limits,
+    features: Features,
     started_at: Duration,
     jobs: BTreeMap<BatchId, Job>,
     ended_jobs: EndedJobs,
@@ -134,6 +136,7 @@
         Self {
             token,
             limits,
+            features: Features::default(),
             started_at: now.monotonic,
             jobs: BTreeMap::new(),
             ended_jobs: EndedJobs::default(),
@@ -149,6 +152,13 @@
         }
     }
 
+    /// Switches features on. Without them, none is in effect.
+    #[must_use]
+    pub const fn with_features(mut self, features: Features) -> Self {
+        self.features = features;
+        self
+    }
+
     /// Returns the actions that were added since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -246,7 +246,8 @@
             term.token,
             self.now(),
             self.config.deployment.limits,
-        );
+        )
+        .with_features(self.config.deployment.features);
         let mut directory = AgentDirectory {
             addresses: stored.agents,
             last_dials: BTreeMap::new(),
--- a/crates/state/src/deployment.rs
+++ b/crates/state/src/deployment.rs
@@ -1,8 +1,10 @@
 //! The settings file of a process that runs on a platform, with the sections
-//! `[process]`, `[platform]` and `[limits]` (see [`limits`]). On such a platform, all accepted jobs and
-//! their progress are recorded in the platform's store.
+//! `[process]`, `[platform]`, `[limits]` (see [`limits`]) and `[features]` (see
+//! [`features`]). On such a platform, all accepted jobs and their progress are
+//! recorded in the platform's store.
 
 use crate::{
+    features::{self, Features},
     ini_file::{self, Entry, Problem, Problems, nearest},
     limits::{self, Limits},
 };
@@ -130,6 +132,8 @@
     pub upstream: String,
     /// The time limits of the deployment.
     pub limits: Limits,
+    /// The features that the deployment switches on.
+    pub features: Features,
 }
 
 /// Returns whether the text of a settings file has a `[platform]` section,
@@ -150,13 +154,14 @@
         let mut problems = Vec::new();
         let mut found: Vec<(&'static Key, String)> = Vec::new();
         let mut limits = Limits::default();
+        let mut features = Features::default();
         for section in ini_file::parse(text, file)? {
             for entry in &section.entries {
-                let result = if section.path == limits::SECTION {
-                    set_limit(&mut limits, entry)
-                } else {
-                    check_entry(&section.path, entry)
-                        .map(|key| found.push((key, entry.value.clone())))
+                let result = match section.path.as_str() {
+                    limits::SECTION => set_limit(&mut limits, entry),
+                    features::SECTION => set_feature(&mut features, entry),
+                    path => check_entry(path, entry)
+                        .map(|key| found.push((key, entry.value.clone()))),
                 };
                 if let Err(text) = result {
                     problems.push(Problem {
@@ -207,6 +212,7 @@
             readiness: value_of("readiness"),
             upstream: value_of("upstream"),
             limits,
+            features,
         };
         if problems.is_empty() {
             Ok(deployment)
@@ -222,14 +228,37 @@
 ///
 /// Returns a message that says what is wrong.
 fn set_limit(limits: &mut Limits, entry: &Entry) -> Result<(), String> {
-    limits.set(&entry.key, &entry.value).map_err(|text| {
-        let known = limits::names().any(|n| n == entry.key);
-        let hint = nearest(&entry.key, limits::names());
-        match hint.filter(|_| !known) {
-            Some(name) => format!("{text}; did you mean {name}?"),
-            None => text,
-        }
-    })
+    limits
+        .set(&entry.key, &entry.value)
+        .map_err(|text| with_hint(text, entry, limits::names()))
+}
+
+/// Switches a feature on or off from its entry.
+///
+/// # Errors
+///
+/// Returns a message that says what is wrong.
+fn set_feature(features: &mut Features, entry: &Entry) -> Result<(), String> {
+    features
+        .set(&entry.key, &entry.value)
+        .map_err(|text| with_hint(text, entry, features::names()))
+}
+
+/// Adds the nearest of the known names to the message about an entry whose name
+/// is not one of them.
+fn with_hint(
+    text: String,
+    entry: &Entry,
+    names: impl Iterator<Item = &'static str>,
+) -> String {
+    let names: Vec<_> = names.collect();
+    if names.contains(&entry.key.as_str()) {
+        return text;
+    }
+    match nearest(&entry.key, names) {
+        Some(name) => format!("{text}; did you mean {name}?"),
+        None => text,
+    }
 }
 
 /// Checks an entry and returns its declaration.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod digest;
 pub mod error;
 pub mod event;
+pub mod features;
 pub mod ini_file;
 pub mod job;
 pub mod kv;
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -1,6 +1,6 @@
 //! Tests that the documentation matches the code that it describes.
 
-use figrill_state::{event::Code, limits, settings::schema};
+use figrill_state::{event::Code, features, limits, settings::schema};
 
 fn read(path: &str) -> String {
     let root = env!("CARGO_MANIFEST_DIR");
@@ -48,3 +48,12 @@
         assert!(page.contains(&row), "docs/OPERATING.md lacks: {row}");
     }
 }
+
+#[test]
+fn the_operators_page_lists_every_feature() {
+    let page = read("docs/OPERATING.md");
+    for (name, help) in features::help() {
+        let row = format!("| `{name}` | features | {help} |");
+        assert!(page.contains(&row), "docs/OPERATING.md lacks: {row}");
+    }
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -60,6 +60,51 @@
     }
 }
 
+#[test]
+fn features_of_a_deployment_are_off_unless_switched_on() {
+    struct Case {
+        features: &'static str,
+        expected: Result<bool, &'static str>,
+    }
+    let cases = [
+        Case {
+            features: "",
+            expected: Ok(false),
+        },
+        Case {
+            features: "[features]\nworker_speeds =\n",
+            expected: Ok(false),
+        },
+        Case {
+            features: "[features]\nworker_speeds = on\n",
+            expected: Ok(true),
+        },
+        Case {
+            features: "[features]\nworker_speeds = yes\n",
+            expected: Err("x.ini:7: worker_speeds: write on or off"),
+        },
+        Case {
+            features: "[features]\nworker_speed = on\n",
+            expected: Err("x.ini:7: no key worker_speed in [features]; did \
+                           you mean worker_speeds?"),
+        },
+    ];
+    for case in cases {
+        let text = format!(
+            "[process]\nname = a\npeer = 127.0.0.1:1\n\
+             [platform]\nstore = 127.0.0.1:2\n{}",
+            case.features
+        );
+        let parsed = Deployment::parse(&text, "x.ini");
+        let speeds = parsed.map(|d| d.features.worker_speeds);
+        let speeds = speeds.map_err(|e| e.to_string());
+        assert_eq!(speeds.as_ref().ok(), case.expected.as_ref().ok());
+        let error = speeds.err().unwrap_or_default();
+        let expected = case.expected.err().unwrap_or_default();
+        assert_eq!(error.trim(), expected, "{}", case.features);
+    }
+}
+
 #[test]
 fn errors_name_the_file_the_line_and_the_closest_name() {
     struct Case {
