Drain failure domains at the request of operators

Cause: op/evacuate/ZONE was not read.

Change: entries follow the keys with a read at least every 800 ms and a watch that triggers one. The scheduler leaves out workers of drained failure domains, releases placements there whose start was not ordered yet, and places and orders nothing while its view is older than domain_drain_ms less the window of a start and a margin, or was not read in this term. Without domain_drain_ms nothing is read and decisions stay as they were. The directory of agents moves from lead.rs into a module of its own.

Result: 10 tests in virtual time (fleet::domain_drains) pass. Each of these was removed once and made at least one of them fail: the filter of candidates, the release of unordered placements, the age check before planning and the one before ordering, the subtraction of the window, the order of reads, the single warning, the setting.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -30,6 +30,7 @@
 use worker::Worker;
 
 mod commit;
+mod drains;
 mod ended_jobs;
 mod endings;
 mod fences;
@@ -103,6 +104,7 @@
     ended_jobs: EndedJobs,
     workers: BTreeMap<String, Worker>,
     workspaces: BTreeMap<String, Workspace>,
+    drain_view: drains::DrainView,
     /// Jobs whose progress has still to be put into a commit.
     dirty: BTreeSet<BatchId>,
     /// Whether the number of queued jobs may have changed since the last
@@ -142,6 +144,7 @@
             ended_jobs: EndedJobs::default(),
             workers: BTreeMap::new(),
             workspaces: BTreeMap::new(),
+            drain_view: drains::DrainView::default(),
             dirty: BTreeSet::new(),
             queued_changed: true,
             commit_state: commit::CommitState::default(),
@@ -319,6 +322,7 @@
             self.release_expired(now);
             self.check_runs(now);
             self.remove_ended_jobs(now);
+            self.check_drains(now);
         }
         if check || self.pending_work.plan {
             self.pending_work.plan = false;
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -383,6 +383,12 @@
         if !self.can_start(now, id) {
             return Some("its worker is unreachable, draining or replaced");
         }
+        if !self.may_start(now) {
+            return Some("the requests to drain were not read recently");
+        }
+        if self.is_placed_in_drained_domain(id) {
+            return Some("its failure domain is drained");
+        }
         let has_orphan = self.has_orphan(now, id);
         has_orphan.then_some("an upstream still lists an earlier run")
     }
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -95,6 +95,10 @@
         if groups.is_empty() {
             return;
         }
+        if !self.may_start(now) {
+            self.record_withheld_starts(now);
+            return;
+        }
         groups.sort_by_key(|g| (g.priority, !g.claim, g.due_ms, g.first()));
         let mut candidates = self.candidates(now);
         let mut victims = None;
@@ -221,6 +225,7 @@
             .workers
             .iter()
             .filter(|(_, w)| w.is_reachable(now.monotonic))
+            .filter(|(_, w)| !self.is_in_drained_domain(w))
             .filter_map(|(agent, w)| Some((agent, w, w.upstream.as_ref()?)))
             .filter(|(_, _, upstream)| !upstream.draining)
             .collect();
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -6,6 +6,7 @@
 //! simulation.
 
 mod agents;
+mod drains;
 mod incidents;
 mod jobs;
 mod messages;
@@ -17,9 +18,11 @@
 use figrill_coordination::scheduler::{Commit, Now, Scheduler};
 use figrill_example::pool::{Node, Pool};
 use figrill_state::batch::{Batch, BatchId, Progress};
+use figrill_state::event::Code;
 use figrill_state::limits::Limits;
 
 use agents::{Agent, upstream};
+use drains::DrainRequests;
 use messages::Message;
 
 pub use jobs::{gang, job};
@@ -55,6 +58,9 @@
     pub token: u64,
     /// Whether the store accepts commits.
     pub store_up: bool,
+    /// The requests to drain failure domains.
+    pub drains: DrainRequests,
+    limits: Limits,
     /// The maximum number of entries in a transaction.
     pub max_entries: usize,
     /// The maximum length of a value in the store, in bytes.
@@ -72,6 +78,8 @@
     pub start_orders: Vec<(u64, String)>,
     /// The details of the quarantines of workers.
     pub quarantines: Vec<String>,
+    /// The events about drains that the scheduler recorded.
+    pub drain_events: Vec<Code>,
     /// The records of jobs in the store, each with the revision at which it was
     /// written.
     batches: BTreeMap<BatchId, (Batch, u64)>,
@@ -109,6 +117,8 @@
             faults: Faults::default(),
             token: 0,
             store_up: true,
+            drains: DrainRequests::default(),
+            limits: Limits::default(),
             max_entries: 32,
             max_value_bytes: 1 << 20,
             paused: false,
@@ -116,6 +126,7 @@
             held_up_holds_ms: BTreeMap::new(),
             start_orders: Vec::new(),
             quarantines: Vec::new(),
+            drain_events: Vec::new(),
             batches: BTreeMap::new(),
             revision: 1,
             progress: BTreeMap::new(),
@@ -197,6 +208,7 @@
         for (_, token, message) in due {
             self.deliver(token, message);
         }
+        self.read_drains();
         let now = self.now();
         self.scheduler.tick(now);
         self.send_actions();
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -62,6 +62,11 @@
             {
                 self.quarantines.push(event.detail.clone());
             }
+            if let Action::RecordEvent(event) = &action
+                && (1601..1610).contains(&event.code.number())
+            {
+                self.drain_events.push(event.code);
+            }
             if let Action::Send { agent, message } = action {
                 if let ToAgent::Start { upstream, start } = message {
                     let order =
--- a/crates/coordination/tests/fleet/sim/store.rs
+++ b/crates/coordination/tests/fleet/sim/store.rs
@@ -7,7 +7,6 @@
 use figrill_state::batch::{Batch, BatchId, BatchState, Ledger, decode, keys};
 use figrill_state::catalog::Workspace;
 use figrill_state::kv::Txn;
-use figrill_state::limits::Limits;
 
 use super::messages::{Message, is_for_coordinator};
 use super::{STEP_MS, Sim, WALL_START_MS};
@@ -29,8 +28,8 @@
         self.commit = None;
         self.in_flight
             .retain(|(_, _, message)| !is_for_coordinator(message));
-        self.scheduler =
-            Scheduler::new(self.token, self.now(), Limits::default());
+        self.scheduler = Scheduler::new(self.token, self.now(), self.limits);
+        self.drains.next_read_ms = self.now_ms;
         self.scheduler.set_workspaces(workspaces());
         for (batch, revision) in self.batches.values() {
             match self.progress.get(&batch.id) {
--- a/crates/core/commands/platform.rs
+++ b/crates/core/commands/platform.rs
@@ -10,7 +10,7 @@
 use figrill_node::metrics::Journal;
 use figrill_platform::{
     callers::PlatformCallerCodec,
-    configuration,
+    configuration, drain,
     store::PlatformStore,
     upstream::{PlatformRunner, RegistrationRequest, decode_registration},
 };
@@ -72,6 +72,8 @@
         clock: Arc::new(BoottimeClock),
         catalog_key: configuration::KEY,
         decode_catalog: configuration::decode,
+        drain_prefix: drain::PREFIX,
+        decode_drain: drain::decode,
         caller_codec: Arc::new(PlatformCallerCodec),
     };
     let entry = FleetEntry::start(&config).map_err(usage_error)?;
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -16,6 +16,7 @@
 //! | `ready` | answers the load balancer's readiness checks |
 //! | `caller` (several) | answers the requests of callers, one at a time |
 //! | `catalog` | follows the operators' configuration (the catalogue) |
+//! | `drains`, `drain-watch` | follow the requests to drain failure domains |
 //! | `lead` | campaigns for the coordinator's lease and drives the scheduler |
 //! | `lease`, `commit`, `watch` | make the coordinator's store calls |
 //! | `hub` | handles the events on the entry's streams |
@@ -36,6 +37,7 @@
 pub mod agent;
 pub mod callers;
 mod catalog;
+mod drains;
 pub mod entry;
 mod lead;
 mod mesh;
@@ -67,6 +69,10 @@
 /// is wrong with it.
 pub type DecodeCatalog = fn(&[u8]) -> Result<Catalog, String>;
 
+/// Decodes the name of a failure domain from the key of a request to drain it.
+/// The error says what is wrong with the key.
+pub type DecodeDrain = fn(&str) -> Result<String, &'static str>;
+
 /// A message from an upstream to the agent on its VM.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum UpstreamMessage {
@@ -98,6 +104,11 @@
     pub catalog_key: &'static str,
     /// Decodes the value of `catalog_key`.
     pub decode_catalog: DecodeCatalog,
+    /// The prefix of the keys in the store that request the drain of a failure
+    /// domain.
+    pub drain_prefix: &'static str,
+    /// Decodes the name of the failure domain from such a key.
+    pub decode_drain: DecodeDrain,
     /// Decodes the requests of callers and encodes the answers.
     pub caller_codec: Arc<dyn CallerCodec<Call = Call, Answer = Answer>>,
 }
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -16,7 +16,8 @@
     EntryConfig,
     callers::CallerService,
     catalog::{self, SharedCatalog},
-    lead::CoordinatorHandle,
+    drains::SharedDrains,
+    lead::{CoordinatorHandle, Operators},
     mesh::{self, Mesh, relay::RelayedKv},
     serve,
 };
@@ -114,9 +115,13 @@
         serve::spawn("catalog", move || {
             catalog::follow(&follow_config, &follow_catalog, &follow_journal);
         })?;
+        let drains = SharedDrains::start(config, &journal)?;
         let coordinator = CoordinatorHandle::start(
             config,
-            shared_catalog,
+            Operators {
+                catalog: shared_catalog,
+                drains,
+            },
             mesh.clone(),
             coordinator_inputs,
             journal.clone(),
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -21,7 +21,7 @@
     campaign,
     scheduler::{Action, Now, Scheduler},
 };
-use figrill_protocol::message::{Heartbeat, Message};
+use figrill_protocol::message::Message;
 use figrill_state::{
     batch::{Batch, keys},
     event::{Code, Stamp},
@@ -33,6 +33,7 @@
     EntryConfig, STORE_RETRY_DELAY,
     callers::wall_ms,
     catalog::SharedCatalog,
+    drains::SharedDrains,
     mesh::{CoordinatorInputs, Mesh},
     refusals::Refusals,
     serve,
@@ -40,22 +41,18 @@
 use crate::{config::StartError, metrics::Journal};
 
 mod calls;
+mod directory;
 mod records;
 mod term;
 
 use calls::{start_commits, start_watch};
+use directory::AgentDirectory;
 use records::StoredState;
 use term::{Attempt, CANDIDATE_WATCH_TIMEOUT, LEASE_TTL, Term};
 
 /// The interval of scheduler ticks while there is no input.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The interval of heartbeats on the streams to agents.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The delay before an agent that is not connected is dialled again.
-const DIAL_RETRY_DELAY: Duration = Duration::from_millis(700);
-
 /// The maximum number of inputs from the store that wait for the scheduler.
 const INPUT_QUEUE_CAPACITY: usize = 1024;
 
@@ -64,6 +61,12 @@
 /// scheduler remembers jobs that have ended.
 const MAX_JOB_RECORD_AGE: Duration = Duration::from_secs(10);
 
+/// What operators have written to the store, as other threads read it.
+pub(super) struct Operators {
+    pub(super) catalog: Arc<SharedCatalog>,
+    pub(super) drains: SharedDrains,
+}
+
 /// A handle to the `lead` thread, which campaigns and coordinates.
 pub(super) struct CoordinatorHandle {
     stop: Arc<AtomicBool>,
@@ -74,7 +77,7 @@
 /// The state of the `lead` thread, which is kept between terms.
 struct Coordinator {
     config: EntryConfig,
-    catalog: Arc<SharedCatalog>,
+    operators: Operators,
     journal: Journal,
     net: Net,
     mesh: Mesh,
@@ -109,7 +112,7 @@
 impl CoordinatorHandle {
     pub(super) fn start(
         config: &EntryConfig,
-        catalog: Arc<SharedCatalog>,
+        operators: Operators,
         mesh: Mesh,
         inputs: CoordinatorInputs,
         journal: Journal,
@@ -121,7 +124,7 @@
             let net = mesh.net().clone();
             let mut coordinator = Coordinator {
                 config,
-                catalog,
+                operators,
                 journal,
                 net,
                 mesh,
@@ -248,11 +251,9 @@
             self.config.deployment.limits,
         )
         .with_features(self.config.deployment.features);
-        let mut directory = AgentDirectory {
-            addresses: stored.agents,
-            last_dials: BTreeMap::new(),
-            last_heartbeat: Duration::ZERO,
-        };
+        // The scheduler places nothing before they have been read in its term.
+        self.operators.drains.read_soon();
+        let mut directory = AgentDirectory::new(stored.agents);
         for (batch, progress) in stored.jobs {
             match progress {
                 Some(p) => scheduler.load_job(self.now(), batch, p),
@@ -274,12 +275,13 @@
         let mut last_valid = true;
         let mut version = 0;
         while !self.is_stopping() && !term.has_ended() {
-            let catalog = self.catalog.get();
+            let catalog = self.operators.catalog.get();
             if let Some(catalog) = catalog.filter(|c| c.version != version) {
                 version = catalog.version;
                 scheduler.set_workspaces(catalog.workspaces.clone());
             }
             self.handle_inputs(&mut scheduler, &mut directory, &inputs);
+            self.operators.drains.pass_to(&mut scheduler, self.now());
             scheduler.tick(self.now());
             let valid = term.is_valid();
             if valid != last_valid {
@@ -460,36 +462,4 @@
             Event::DialFailed { .. } | Event::Refused { .. } => {}
         }
     }
-
-    /// Dials agents that are not connected, and sends a heartbeat on all
-    /// streams once per [`HEARTBEAT_INTERVAL`].
-    fn dial_and_heartbeat(&mut self, directory: &mut AgentDirectory) {
-        let now = self.config.clock.now();
-        for (name, address) in &directory.addresses {
-            let last_dial = directory.last_dials.get(name);
-            let is_due =
-                last_dial.is_none_or(|at| now >= *at + DIAL_RETRY_DELAY);
-            let is_connected = self.agents.contains_key(name)
-                || self.dialled.values().any(|dialled| dialled == address);
-            if is_due && !is_connected {
-                directory.last_dials.insert(name.clone(), now);
-                self.net.dial(address);
-            }
-        }
-        if now >= directory.last_heartbeat + HEARTBEAT_INTERVAL {
-            directory.last_heartbeat = now;
-            for conn in self.agents.values() {
-                self.send(*conn, Message::Heartbeat(Heartbeat::default()));
-            }
-        }
-    }
-}
-
-/// The addresses of agents, and the times of the last dials and heartbeats.
-struct AgentDirectory {
-    /// The addresses by the name of the agent.
-    addresses: BTreeMap<String, String>,
-    /// The time of the last dial, by the name of the agent.
-    last_dials: BTreeMap<String, Duration>,
-    last_heartbeat: Duration,
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod clock;
 pub mod deployment;
 pub mod digest;
+pub mod drain;
 pub mod error;
 pub mod event;
 pub mod features;
--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -27,6 +27,10 @@
     /// The factor by which tasks take longer when they run on another rack
     /// than their data or than the rest of their gang.
     pub spread_slowdown: f64,
+    /// The maximum time from the request to drain a failure domain until
+    /// nothing more starts on its workers. `None` if such requests are not
+    /// followed.
+    pub domain_drain: Option<Duration>,
 }
 
 impl Default for Limits {
@@ -40,6 +44,7 @@
             shutdown_grace: Duration::from_secs(6),
             processor_share: 1.0,
             spread_slowdown: 3.0,
+            domain_drain: None,
         }
     }
 }
@@ -108,6 +113,14 @@
         range: (1.0, 100.0),
         set: |l, v| l.spread_slowdown = v,
     },
+    Key {
+        name: "domain_drain_ms",
+        help: "time limit from the request to drain a failure domain until nothing starts there; requests are not read if empty",
+        // Below it, the view of the requests would be too old for a start
+        // before it is read again.
+        range: (2500.0, 600_000.0),
+        set: |l, v| l.domain_drain = Some(millis(v)),
+    },
 ];
 
 /// The section of the settings file that holds the limits.
