Test the drain of a failure domain with real processes

Cause: the threads that follow the requests, the key and the settings are not covered by tests in virtual time.

Change: the platform's stand-in has two failure domains and can be started with domain_drain_ms; operators' keys can be set and deleted. The sites of the soak follow the requests.

--- a/crates/standin/src/platform/site.rs
+++ b/crates/standin/src/platform/site.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use figrill_state::kv::{Kv, Txn, memory::MemoryKv};
+use figrill_state::{
+    kv::{Kv, Txn, TxnBuilder, memory::MemoryKv},
+    worker::Place,
+};
 use serde_json::{Value, json};
 
 use super::{
@@ -53,6 +56,19 @@
     settings: PathBuf,
 }
 
+/// The size and the settings of a site.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SitePlan {
+    /// The number of entries.
+    pub entries: usize,
+    /// The number of agents, each with an upstream.
+    pub agents: usize,
+    /// Whether there is a proxy in front of the peer address of each process.
+    pub with_proxies: bool,
+    /// The limit `domain_drain_ms` of the entries, if they have one.
+    pub domain_drain: Option<Duration>,
+}
+
 /// A running site. Its processes are killed when it is dropped.
 pub struct Site {
     /// The entries, in the order of their names.
@@ -68,7 +84,7 @@
     /// The directory of the settings files and logs.
     pub dir: PathBuf,
     program: PathBuf,
-    with_proxies: bool,
+    plan: SitePlan,
     keep_logs: AtomicBool,
 }
 
@@ -109,11 +125,16 @@
         entries: usize,
         agents: usize,
     ) -> io::Result<Self> {
-        Self::start_site(program, entries, agents, false)
+        let plan = SitePlan {
+            entries,
+            agents,
+            ..SitePlan::default()
+        };
+        Self::start_plan(program, plan)
     }
 
-    /// Starts a site like [`Site::start`], with a proxy in front of the peer
-    /// address of each process.
+    /// Starts a site and waits until it serves jobs. Its workers belong to the
+    /// failure domains `domain-0` and `domain-1` in turn.
     ///
     /// # Errors
     ///
@@ -122,20 +143,7 @@
     /// # Panics
     ///
     /// Panics if the site does not serve a job in time.
-    pub fn start_with_proxies(
-        program: &Path,
-        entries: usize,
-        agents: usize,
-    ) -> io::Result<Self> {
-        Self::start_site(program, entries, agents, true)
-    }
-
-    fn start_site(
-        program: &Path,
-        entries: usize,
-        agents: usize,
-        with_proxies: bool,
-    ) -> io::Result<Self> {
+    pub fn start_plan(program: &Path, plan: SitePlan) -> io::Result<Self> {
         let number = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
         let name = format!("figrill-site-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(name);
@@ -148,18 +156,21 @@
             client: Client::new(API_KEY),
             dir,
             program: program.to_owned(),
-            with_proxies,
+            plan,
             keep_logs: AtomicBool::new(false),
         };
         site.configure(&configuration(1, &[API_KEY]));
-        for i in 0..entries {
+        for i in 0..plan.entries {
             let member = site.start_member("entry", i)?;
             site.entries.push(member);
         }
-        for i in 0..agents {
+        for i in 0..plan.agents {
             let member = site.start_member("agent", i)?;
-            let rack = format!("rack-{}", i / 3);
-            site.workers.add(&member.name, &rack, member.address)?;
+            let place = Place {
+                failure_domain: format!("domain-{}", i % 2),
+                rack: format!("rack-{}", i / 3),
+            };
+            site.workers.add_at(&member.name, &place, member.address)?;
             site.agents.push(member);
         }
         site.wait_until_serving();
@@ -178,6 +189,21 @@
         );
     }
 
+    /// Requests the drain of a failure domain, as an operator does.
+    pub fn request_drain(&self, domain: &str) {
+        let key = format!("op/evacuate/{domain}");
+        let mut txn = TxnBuilder::with_reserved(0);
+        let _ = txn.put(&key, b"requested".to_vec());
+        let _ = self.kv.commit(&txn.build(), Duration::ZERO);
+    }
+
+    /// Ends the drain of a failure domain.
+    pub fn end_drain(&self, domain: &str) {
+        let mut txn = TxnBuilder::with_reserved(0);
+        let _ = txn.remove([format!("op/evacuate/{domain}")]);
+        let _ = self.kv.commit(&txn.build(), Duration::ZERO);
+    }
+
     fn start_member(&self, role: &str, i: usize) -> io::Result<Member> {
         let name = format!("{role}-{i}");
         let store_endpoint = store::open(&self.kv)?;
@@ -185,11 +211,18 @@
         let peer = free_address()?;
         let role_settings = if role == "entry" {
             let readiness = free_address()?;
-            format!("callers = {address}\nreadiness = {readiness}\n")
+            let limits =
+                self.plan.domain_drain.map_or(String::new(), |limit| {
+                    format!(
+                        "[limits]\ndomain_drain_ms = {}\n",
+                        limit.as_millis()
+                    )
+                });
+            format!("callers = {address}\nreadiness = {readiness}\n{limits}")
         } else {
             format!("upstream = {address}\n")
         };
-        let peer_proxy = if self.with_proxies {
+        let peer_proxy = if self.plan.with_proxies {
             Some(Proxy::start(Some(peer))?)
         } else {
             None
--- a/crates/standin/src/platform/workers.rs
+++ b/crates/standin/src/platform/workers.rs
@@ -18,6 +18,7 @@
 use figrill_state::{
     batch::{Incarnation, Resources},
     runner::UpstreamState,
+    worker::Place,
 };
 use serde_json::{Value, json};
 
@@ -166,8 +167,8 @@
         self.shared.start_unix_ms.saturating_add(ms)
     }
 
-    /// Adds an upstream beside the agent `name`, whose address for upstreams
-    /// is `agent`.
+    /// Adds an upstream like [`Workers::add_at`] on a rack of the failure
+    /// domain `domain`.
     ///
     /// # Errors
     ///
@@ -178,6 +179,26 @@
         name: &str,
         rack: &str,
         agent: SocketAddr,
+    ) -> io::Result<()> {
+        let place = Place {
+            failure_domain: "domain".to_owned(),
+            rack: rack.to_owned(),
+        };
+        self.add_at(name, &place, agent)
+    }
+
+    /// Adds an upstream beside the agent `name`, whose address for upstreams
+    /// is `agent`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address of the upstream cannot be bound or its
+    /// heartbeat thread cannot be started.
+    pub fn add_at(
+        &self,
+        name: &str,
+        place: &Place,
+        agent: SocketAddr,
     ) -> io::Result<()> {
         let server = self.serve(name, free_address()?)?;
         let upstream = UpstreamState {
@@ -187,14 +208,14 @@
             },
             address: server.address.to_string(),
             service: "svc".to_owned(),
-            failure_domain: "domain".to_owned(),
+            failure_domain: place.failure_domain.clone(),
             capacity: Resources {
                 cpu_milli: 32_000,
                 memory_mib: 128_000,
                 accelerators: 8,
             },
-            labels: vec!["a".to_owned(), rack.to_owned()],
-            rack: rack.to_owned(),
+            labels: vec!["a".to_owned(), place.rack.clone()],
+            rack: place.rack.clone(),
             sequence: 0,
             ..UpstreamState::default()
         };
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -13,6 +13,9 @@
 /// The period of a round in which faults begin.
 pub const FAULT_PHASE: Duration = Duration::from_secs(7);
 
+/// The limit `domain_drain_ms` of the sites.
+pub const DOMAIN_DRAIN_LIMIT: Duration = Duration::from_secs(5);
+
 /// The maximum number of faults in a round.
 const MAX_FAULTS: usize = 9;
 
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -9,12 +9,17 @@
     time::{Duration, Instant},
 };
 
-use figrill_standin::platform::site::{API_KEY, Site, configuration};
+use figrill_standin::platform::site::{
+    API_KEY, Site, SitePlan, configuration,
+};
 
 use crate::{
     callers::{CALLERS, CallerState, LONG_CALLERS, Observation},
     checks, faults,
-    plan::{FAULT_PHASE, FaultKind, Plan, Profile, Size, Target},
+    plan::{
+        DOMAIN_DRAIN_LIMIT, FAULT_PHASE, FaultKind, Plan, Profile, Size,
+        Target,
+    },
     restarts::carried_out_later,
     signals::Step,
     writer,
@@ -55,8 +60,15 @@
     profile: Profile,
 ) -> io::Result<Report> {
     let plan = Plan::from_seed(seed, site_size, profile);
-    let mut site =
-        Site::start_with_proxies(program, plan.entries, plan.agents)?;
+    let mut site = Site::start_plan(
+        program,
+        SitePlan {
+            entries: plan.entries,
+            agents: plan.agents,
+            with_proxies: true,
+            domain_drain: Some(DOMAIN_DRAIN_LIMIT),
+        },
+    )?;
     let entries = site.entries.iter().map(|e| e.address).collect();
     let callers = CallerState::new(entries);
     let client = site.client.clone();
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -10,6 +10,7 @@
 mod command_line;
 mod disruption;
 mod docs;
+mod domain_drains;
 mod failures;
 mod invalid_entries;
 mod path;
