Place work by learnt speeds of the workers

Cause: on sites whose workers run at 60, 100 and 160 %, a third of the urgent gangs end late because a member is on a slow worker, and the moving average of speeds needs minutes to tell the workers apart. Change: with worker_speeds on, each worker has a normal distribution of the logarithm of its speed. A run is one observation, from the runs of its step on other workers and from its estimate, corrected by the median ratio of its queue. Stragglers and short slowdowns are kept out of it. Placement takes the fastest workers for priority 0 and the slowest that suffice for the rest; a rack is chosen by its slowest worker. Off, nothing changes.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -37,6 +37,7 @@
 mod job;
 pub mod message;
 mod orphans;
+mod pace;
 mod place;
 mod plan;
 mod reclaim;
@@ -111,6 +112,7 @@
     commit_state: commit::CommitState,
     run_times: RunTimeEstimator,
     speeds: speed::Speeds,
+    learnt_speeds: speed::LearntSpeeds,
     pending_work: PendingWork,
     actions: Vec<Action>,
 }
@@ -147,6 +149,7 @@
             commit_state: commit::CommitState::default(),
             run_times: RunTimeEstimator::default(),
             speeds: speed::Speeds::default(),
+            learnt_speeds: speed::LearntSpeeds::default(),
             pending_work: PendingWork::default(),
             actions: Vec::new(),
         }
@@ -396,6 +399,7 @@
         for (id, ended_ms) in ended {
             self.jobs.remove(&id);
             self.speeds.remove_job(id);
+            self.learnt_speeds.remove_job(id);
             self.ended_jobs.insert(id, ended_ms);
         }
         self.ended_jobs.schedule_removals(now.wall_ms);
--- a/crates/coordination/src/scheduler/endings.rs
+++ b/crates/coordination/src/scheduler/endings.rs
@@ -32,6 +32,7 @@
         if let Some(worker) = self.workers.get_mut(&run.agent) {
             worker.allocations.remove(&id);
         }
+        self.learnt_speeds.end(id);
         self.dirty.insert(id.job);
         self.pending_work.plan = true;
         let detail = format!(
--- a/crates/coordination/src/scheduler/place.rs
+++ b/crates/coordination/src/scheduler/place.rs
@@ -10,6 +10,11 @@
 use figrill_state::batch::{Resources, Step};
 
 use super::speed::SpeedClass;
+use demand::Space;
+
+mod demand;
+
+pub(super) use demand::{Band, SpeedDemand};
 
 /// A worker that may receive tasks, as seen by one planning pass.
 #[derive(Clone, Debug)]
@@ -26,6 +31,8 @@
     pub(super) capacity: Resources,
     /// Its speed relative to the other workers.
     pub(super) speed_class: SpeedClass,
+    /// The band of its learnt speed, if work is placed by that.
+    pub(super) speed_band: Band,
 }
 
 /// Pairs of the index of a candidate and the number of tasks assigned to it.
@@ -41,6 +48,8 @@
     pub(super) excluded_agents: &'a [String],
     /// Whether fast workers are preferred over keeping whole workers free.
     pub(super) prefer_fast: bool,
+    /// The speed that the tasks demand, if work is placed by learnt speeds.
+    pub(super) demand: Option<SpeedDemand>,
 }
 
 impl PlacementRequest<'_> {
@@ -89,7 +98,12 @@
         allow_spread: bool,
     ) -> Option<Assignment> {
         let fill = |rack: Option<&str>| {
-            let assignment = self.fill(candidates, count, rack);
+            let demand = if rack.is_none() && self.is_rack_bound() {
+                self.demand.map(SpeedDemand::spread)
+            } else {
+                self.demand
+            };
+            let assignment = self.fill(candidates, count, rack, demand);
             let placed: u32 = assignment.iter().map(|(_, n)| n).sum();
             (placed == count).then_some(assignment)
         };
@@ -98,13 +112,16 @@
         {
             return Some(assignment);
         }
-        let rack_bound = self.step.same_rack || self.step.data_rack.is_some();
+        let rack_bound = self.is_rack_bound();
         if rack_bound && self.step.data_rack.is_none() {
             let best = racks(candidates)
                 .into_iter()
                 .filter_map(|rack| fill(Some(rack)))
                 .min_by_key(|assignment| {
-                    self.leftover_accelerators(candidates, assignment)
+                    (
+                        self.rack_rank(candidates, assignment),
+                        self.leftover_accelerators(candidates, assignment),
+                    )
                 });
             if best.is_some() {
                 return best;
@@ -127,16 +144,17 @@
         allow_spread: bool,
     ) -> Assignment {
         let Some(rack) = &self.step.data_rack else {
-            return self.fill(candidates, count, None);
+            return self.fill(candidates, count, None, self.demand);
         };
-        let on_rack = self.fill(candidates, count, Some(rack));
+        let on_rack = self.fill(candidates, count, Some(rack), self.demand);
         let placed: u32 = on_rack.iter().map(|(_, n)| n).sum();
         if placed == count || !allow_spread {
             return on_rack;
         }
         // The workers of that rack are full now, but `candidates` still
         // shows their resources as free, so they have to be left out.
-        let elsewhere = self.fill(candidates, count - placed, None);
+        let spread = self.demand.map(SpeedDemand::spread);
+        let elsewhere = self.fill(candidates, count - placed, None, spread);
         let used: BTreeSet<usize> = on_rack.iter().map(|(i, _)| *i).collect();
         let elsewhere =
             elsewhere.into_iter().filter(|(i, _)| !used.contains(i));
@@ -145,14 +163,16 @@
 
     /// Assigns up to `count` tasks, optionally on one rack only. Workers are
     /// used by best fit, or by speed class first if `prefer_fast` is set.
-    /// Workers that seem faulty come last in any case.
+    /// Workers that seem faulty come last in any case. A `demand` replaces the
+    /// speed classes.
     fn fill(
         &self,
         candidates: &[Candidate],
         count: u32,
         rack: Option<&str>,
+        demand: Option<SpeedDemand>,
     ) -> Assignment {
-        let mut eligible: Vec<(SpeedClass, u64, u64, usize, u32)> = candidates
+        let mut eligible: Vec<Space> = candidates
             .iter()
             .enumerate()
             .filter(|(_, candidate)| rack.is_none_or(|r| candidate.rack == r))
@@ -161,21 +181,34 @@
                     self.fitting_tasks(candidate, &candidate.free).min(count);
                 let used = scaled(&self.step.needs, fit);
                 let leftover = candidate.free.minus(&used).accelerators;
-                let speed_class = self.speed_order(candidate.speed_class);
-                let free = candidate.free.accelerators;
-                (fit > 0).then_some((speed_class, leftover, free, i, fit))
+                let band = match demand {
+                    Some(_) => candidate.speed_band,
+                    None => {
+                        Band::of_class(self.speed_order(candidate.speed_class))
+                    }
+                };
+                (fit > 0).then_some(Space {
+                    band,
+                    leftover,
+                    free: candidate.free.accelerators,
+                    candidate: i,
+                    fit,
+                })
             })
             .collect();
-        eligible.sort_unstable();
+        match demand {
+            Some(demand) => demand.arrange(&mut eligible, count),
+            None => eligible.sort_unstable(),
+        }
         let mut unassigned = count;
         let mut assignment = Vec::new();
-        for (.., candidate, fit) in eligible {
+        for space in eligible {
             if unassigned == 0 {
                 break;
             }
-            let assigned = fit.min(unassigned);
+            let assigned = space.fit.min(unassigned);
             unassigned -= assigned;
-            assignment.push((candidate, assigned));
+            assignment.push((space.candidate, assigned));
         }
         assignment
     }
@@ -189,6 +222,23 @@
         }
     }
 
+    /// Returns whether the tasks run slower on other racks.
+    const fn is_rack_bound(&self) -> bool {
+        self.step.same_rack || self.step.data_rack.is_some()
+    }
+
+    /// Returns the rank of the rack of an assignment by the speed of the
+    /// slowest worker, lowest first. Without a demand, all racks are equal.
+    fn rack_rank(
+        &self,
+        candidates: &[Candidate],
+        assignment: &Assignment,
+    ) -> Option<(bool, i64)> {
+        let bands = assignment.iter().map(|(i, _)| candidates[*i].speed_band);
+        let slowest = bands.min().unwrap_or_default();
+        self.demand.map(|demand| demand.rack_rank(slowest))
+    }
+
     /// Returns the number of accelerators that stay free on the workers of
     /// an assignment.
     fn leftover_accelerators(
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -83,6 +83,11 @@
     pub(super) fn count(&self) -> u32 {
         u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
     }
+
+    /// Returns the time until its deadline; zero if that has passed.
+    pub(super) fn time_left(&self, now: Now) -> Duration {
+        Duration::from_millis(self.due_ms.saturating_sub(now.wall_ms))
+    }
 }
 
 impl Scheduler {
@@ -244,6 +249,7 @@
                 expected: Resources::default(),
                 capacity: upstream.capacity,
                 speed_class: self.speeds.speed_class(now.monotonic, agent),
+                speed_band: self.speed_band(now, agent),
             })
             .collect()
     }
@@ -269,6 +275,7 @@
             tasks_by_agent: &tasks_by_agent,
             excluded_agents: &job.excluded_agents,
             prefer_fast: group.priority == 0,
+            demand: self.speed_demand(now, group, job),
         };
         let allow_spread = may_spread(now, group, &request, candidates);
         let assign = |request: &PlacementRequest| -> Assignment {
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -213,6 +213,7 @@
                 tasks_by_agent: &tasks_by_agent,
                 excluded_agents: &job.excluded_agents,
                 prefer_fast: group.priority == 0,
+                demand: None,
             },
             candidates,
             victims,
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -381,10 +381,10 @@
             clock_ms,
             percent: running.percent,
         };
-        self.speeds.observe(now.monotonic, &observation);
         if !running.checkpoint.is_empty() {
             run.checkpoint.clone_from(&running.checkpoint);
         }
+        self.observe_speed(now, &observation);
     }
 
     /// Releases runs that a snapshot should list but does not. A snapshot that
--- a/crates/coordination/src/scheduler/speed.rs
+++ b/crates/coordination/src/scheduler/speed.rs
@@ -4,11 +4,22 @@
 //! step do the same work, so their rates of progress can be compared to
 //! estimate the speeds of their workers. This matters most for gangs: a gang
 //! is only as fast as its slowest member.
+//!
+//! [`Speeds`] decides unless a deployment switches `worker_speeds` on, which
+//! replaces it by [`LearntSpeeds`].
 
 use std::{collections::BTreeMap, time::Duration};
 
 use figrill_state::batch::{BatchId, TaskId};
 
+mod belief;
+mod learner;
+mod queue_ratio;
+mod run_rate;
+mod worker_speed;
+
+pub(super) use learner::{LearntSpeeds, SpeedChange, Work};
+
 /// The minimum duration of a rate sample.
 const MIN_SAMPLE_DURATION: Duration = Duration::from_millis(400);
 
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -13,6 +13,7 @@
 mod former_incarnations;
 mod gangs;
 mod given_up_starts;
+mod learnt_speeds;
 mod lost_workers;
 mod many_ends;
 mod preemption;
@@ -21,6 +22,7 @@
 mod removals;
 mod restarts;
 mod sim;
+mod speed_load;
 mod speeds;
 mod starts;
 
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -17,6 +17,8 @@
 use figrill_coordination::scheduler::{Commit, Now, Scheduler};
 use figrill_example::pool::{Node, Pool};
 use figrill_state::batch::{Batch, BatchId, Progress};
+use figrill_state::event::NewEvent;
+use figrill_state::features::Features;
 use figrill_state::limits::Limits;
 
 use agents::{Agent, upstream};
@@ -70,6 +72,10 @@
     /// The starts that the scheduler has sent: the time in milliseconds, and
     /// `TASK/RUN AGENT`.
     pub start_orders: Vec<(u64, String)>,
+    /// The features that are switched on from the next coordinator on.
+    pub features: Features,
+    /// The events that the scheduler has recorded about workers.
+    pub worker_events: Vec<NewEvent>,
     /// The details of the quarantines of workers.
     pub quarantines: Vec<String>,
     /// The records of jobs in the store, each with the revision at which it was
@@ -115,6 +121,8 @@
             held_up_starts_ms: Vec::new(),
             held_up_holds_ms: BTreeMap::new(),
             start_orders: Vec::new(),
+            features: Features::default(),
+            worker_events: Vec::new(),
             quarantines: Vec::new(),
             batches: BTreeMap::new(),
             revision: 1,
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -62,6 +62,11 @@
             {
                 self.quarantines.push(event.detail.clone());
             }
+            if let Action::RecordEvent(event) = &action
+                && event.code.number() / 100 == 15
+            {
+                self.worker_events.push(event.clone());
+            }
             if let Action::Send { agent, message } = action {
                 if let ToAgent::Start { upstream, start } = message {
                     let order =
--- a/crates/coordination/tests/fleet/sim/store.rs
+++ b/crates/coordination/tests/fleet/sim/store.rs
@@ -30,7 +30,8 @@
         self.in_flight
             .retain(|(_, _, message)| !is_for_coordinator(message));
         self.scheduler =
-            Scheduler::new(self.token, self.now(), Limits::default());
+            Scheduler::new(self.token, self.now(), Limits::default())
+                .with_features(self.features);
         self.scheduler.set_workspaces(workspaces());
         for (batch, revision) in self.batches.values() {
             match self.progress.get(&batch.id) {
@@ -106,6 +107,14 @@
             .map_or(BatchState::Queued, |p| p.state)
     }
 
+    /// Returns when a job ended by its committed progress, in milliseconds;
+    /// `None` if it has not succeeded.
+    pub fn done_ms(&self, id: BatchId) -> Option<u64> {
+        let progress = self.progress.get(&id)?;
+        let is_done = progress.state == BatchState::Done;
+        is_done.then(|| progress.ended_ms - WALL_START_MS)
+    }
+
     /// Returns whether the store has a record of a job's progress.
     pub fn has_record(&self, id: BatchId) -> bool {
         self.progress.contains_key(&id)
--- a/crates/example/src/pool.rs
+++ b/crates/example/src/pool.rs
@@ -197,7 +197,7 @@
         if clock_ms > start.deadline_ms {
             return StartOutcome::Refused(Refusal::DeadlinePassed);
         }
-        let spec = TaskSpec::parse(&start.payload);
+        let spec = TaskSpec::of_task(&start.payload, start.task.index);
         let capacity = node.upstream.capacity;
         if !capacity.fits(&node.used().plus(&spec.resources)) {
             self.record_violation(format!(
