--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -38,6 +38,7 @@
 mod job;
 pub mod message;
 mod orphans;
+mod pace;
 mod place;
 mod plan;
 mod reclaim;
@@ -113,6 +114,7 @@
     commit_state: commit::CommitState,
     run_times: RunTimeEstimator,
     speeds: speed::Speeds,
+    learnt_speeds: speed::LearntSpeeds,
     pending_work: PendingWork,
     actions: Vec<Action>,
 }
@@ -150,6 +152,7 @@
             commit_state: commit::CommitState::default(),
             run_times: RunTimeEstimator::default(),
             speeds: speed::Speeds::default(),
+            learnt_speeds: speed::LearntSpeeds::default(),
             pending_work: PendingWork::default(),
             actions: Vec::new(),
         }
@@ -400,6 +403,7 @@
         for (id, ended_ms) in ended {
             self.jobs.remove(&id);
             self.speeds.remove_job(id);
+            self.learnt_speeds.remove_job(id);
             self.ended_jobs.insert(id, ended_ms);
         }
         self.ended_jobs.schedule_removals(now.wall_ms);
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -67,6 +67,11 @@
             {
                 self.drain_events.push(event.code);
             }
+            if let Action::RecordEvent(event) = &action
+                && event.code.number() / 100 == 15
+            {
+                self.worker_events.push(event.clone());
+            }
             if let Action::Send { agent, message } = action {
                 if let ToAgent::Start { upstream, start } = message {
                     let order =
--- a/crates/coordination/tests/fleet/sim/store.rs
+++ b/crates/coordination/tests/fleet/sim/store.rs
@@ -28,7 +28,8 @@
         self.commit = None;
         self.in_flight
             .retain(|(_, _, message)| !is_for_coordinator(message));
-        self.scheduler = Scheduler::new(self.token, self.now(), self.limits);
+        self.scheduler = Scheduler::new(self.token, self.now(), self.limits)
+            .with_features(self.features);
         self.drains.next_read_ms = self.now_ms;
         self.scheduler.set_workspaces(workspaces());
         for (batch, revision) in self.batches.values() {
@@ -105,6 +106,14 @@
             .map_or(BatchState::Queued, |p| p.state)
     }
 
+    /// Returns when a job ended by its committed progress, in milliseconds;
+    /// `None` if it has not succeeded.
+    pub fn done_ms(&self, id: BatchId) -> Option<u64> {
+        let progress = self.progress.get(&id)?;
+        let is_done = progress.state == BatchState::Done;
+        is_done.then(|| progress.ended_ms - WALL_START_MS)
+    }
+
     /// Returns whether the store has a record of a job's progress.
     pub fn has_record(&self, id: BatchId) -> bool {
         self.progress.contains_key(&id)
