Withhold work from workers that fail the runs they start

Cause: a worker that fails every run at once is always empty, so it attracts all waiting work and uses up the attempts of many jobs. Tasks also returned to the worker on which they had just failed once all others were full.

Change: with the feature `worker_health`, a failure without progress soon after the start makes a worker suspect at once, and later failures do if they are improbable at the learnt rate of the queue. A suspect worker gets no work for 1 s to 8 s, then one probe, then twice as many tasks after each success. Tasks avoid workers on which they failed, jobs on their last attempt avoid workers with a recent failure until their slack is used up, and preemption makes room elsewhere. A task that has failed on two healthy workers runs before its siblings on its last attempt. Suspicions of more than a third of the workers are ignored. Without the feature, nothing changes.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -29,10 +29,13 @@
 use message::{Grant, Report, ToAgent};
 use worker::Worker;
 
+mod avoidance;
 mod commit;
 mod ended_jobs;
 mod endings;
+mod evidence;
 mod fences;
+mod health;
 mod incarnations;
 mod job;
 pub mod message;
@@ -111,6 +114,7 @@
     commit_state: commit::CommitState,
     run_times: RunTimeEstimator,
     speeds: speed::Speeds,
+    health: health::Health,
     pending_work: PendingWork,
     actions: Vec<Action>,
 }
@@ -147,6 +151,7 @@
             commit_state: commit::CommitState::default(),
             run_times: RunTimeEstimator::default(),
             speeds: speed::Speeds::default(),
+            health: health::Health::default(),
             pending_work: PendingWork::default(),
             actions: Vec::new(),
         }
@@ -318,6 +323,7 @@
             self.pending_work.next_check = now.monotonic + CHECK_INTERVAL;
             self.release_expired(now);
             self.check_runs(now);
+            self.update_health(now);
             self.remove_ended_jobs(now);
         }
         if check || self.pending_work.plan {
--- a/crates/coordination/src/scheduler/incarnations.rs
+++ b/crates/coordination/src/scheduler/incarnations.rs
@@ -59,6 +59,7 @@
             // Stops on the new incarnation carry its own token.
             self.assign_fences();
             self.record_worker_up(agent, upstream);
+            self.health.record_restart(now.monotonic, agent);
             self.release_earlier_incarnations(
                 now,
                 agent,
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -133,6 +133,15 @@
     }
 }
 
+/// A failed run of a task, and the worker on which it failed.
+#[derive(Clone, Debug)]
+pub(super) struct FailedRun {
+    pub(super) agent: String,
+    pub(super) at: Duration,
+    /// Whether the worker is the probable cause.
+    pub(super) is_workers_fault: bool,
+}
+
 /// A job that has not ended, or whose end is not committed yet.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -146,6 +155,10 @@
     /// Agents where a task of this job failed or got stuck. Placement avoids
     /// them while there are others.
     pub(super) excluded_agents: Vec<String>,
+    /// The failed runs of each task, oldest first.
+    pub(super) failed_runs: BTreeMap<TaskId, Vec<FailedRun>>,
+    /// Whether a run of the job has made progress.
+    pub(super) has_progressed: bool,
     /// How often a run of a task was stopped because it made no progress. The
     /// next one is given more time: the task may just be a long one.
     pub(super) stalls: BTreeMap<TaskId, u32>,
@@ -161,6 +174,8 @@
             runs: BTreeMap::new(),
             ready_at: BTreeMap::new(),
             excluded_agents: Vec::new(),
+            failed_runs: BTreeMap::new(),
+            has_progressed: false,
             stalls: BTreeMap::new(),
             is_unstorable: false,
         }
@@ -264,6 +279,17 @@
         })
     }
 
+    /// Returns whether another failed run of a task fails the job.
+    pub(super) fn is_last_attempt(&self, task: TaskId) -> bool {
+        let Some(step) = self.batch.step(task) else {
+            return false;
+        };
+        let index = if step.gang { 0 } else { task.index };
+        let counting_task = TaskId { index, ..task };
+        let failures = self.task(counting_task).map_or(0, |t| t.failures);
+        !step.persistent && failures + 1 >= self.batch.attempts.max(1)
+    }
+
     /// Counts a failed run of a task. A failed run of a gang counts once,
     /// however many of its members fail: it is counted in the first member.
     pub(super) fn count_failure(&mut self, task: TaskId, run: u32) {
--- a/crates/coordination/src/scheduler/place.rs
+++ b/crates/coordination/src/scheduler/place.rs
@@ -24,6 +24,8 @@
     /// can be reserved but not assigned.
     pub(super) expected: Resources,
     pub(super) capacity: Resources,
+    /// The number of tasks that it may still get.
+    pub(super) max_tasks: u32,
     /// Its speed relative to the other workers.
     pub(super) speed_class: SpeedClass,
 }
@@ -79,6 +81,16 @@
         fit
     }
 
+    /// Returns how many tasks a worker may get into `available` resources.
+    pub(super) fn placeable_tasks(
+        &self,
+        candidate: &Candidate,
+        available: &Resources,
+    ) -> u32 {
+        self.fitting_tasks(candidate, available)
+            .min(candidate.max_tasks)
+    }
+
     /// Assigns `count` tasks, or returns `None` if they do not all fit. If the
     /// step is bound to one rack, tasks go to several racks only if
     /// `allow_spread` is set.
@@ -157,8 +169,9 @@
             .enumerate()
             .filter(|(_, candidate)| rack.is_none_or(|r| candidate.rack == r))
             .filter_map(|(i, candidate)| {
-                let fit =
-                    self.fitting_tasks(candidate, &candidate.free).min(count);
+                let fit = self
+                    .placeable_tasks(candidate, &candidate.free)
+                    .min(count);
                 let used = scaled(&self.step.needs, fit);
                 let leftover = candidate.free.minus(&used).accelerators;
                 let speed_class = self.speed_order(candidate.speed_class);
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -18,6 +18,7 @@
 
 use super::{
     Now, Scheduler,
+    avoidance::{self, FailureHistory},
     job::Job,
     place::{Assignment, Candidate, PlacementRequest, scaled},
 };
@@ -46,7 +47,7 @@
     /// When the group became ready to be placed.
     pub(super) ready_at: Duration,
     /// When it has to end to meet its deadline, in milliseconds since 1970.
-    due_ms: u64,
+    pub(super) due_ms: u64,
     /// Whether its job is a claim, which means that it fits into its
     /// workspace's guarantee.
     pub(super) claim: bool,
@@ -56,6 +57,10 @@
     /// How long it waits for capacity on one rack, if it is bound to one,
     /// before it is spread over several.
     pub(super) max_rack_wait: Duration,
+    /// How its tasks have failed so far.
+    pub(super) history: FailureHistory,
+    /// When it has to start to meet its deadline, in milliseconds since 1970.
+    pub(super) latest_start_ms: u64,
 }
 
 /// What the groups of a job are built from, besides the job itself.
@@ -71,6 +76,8 @@
     /// How long other gangs wait for capacity on one rack, as a multiple of
     /// their expected duration.
     rack_patience: f64,
+    /// Whether tasks avoid the workers on which they failed.
+    worker_health: bool,
 }
 
 impl TaskGroup {
@@ -151,6 +158,7 @@
                         .unwrap_or_default(),
                     max_claim_rack_wait,
                     rack_patience,
+                    worker_health: self.features.worker_health,
                 };
                 add_groups(job, occurrence, cx, &mut groups);
             }
@@ -166,14 +174,20 @@
         queues
             .into_iter()
             .map(|queue| {
-                let kind = self.run_times.kind_of_queue(&queue);
-                let declared = Some(Duration::ZERO);
-                let p50 = self.run_times.estimate(kind, declared).p50;
-                (queue, p50.mul_f64(TYPICAL_DURATION_FACTOR))
+                let duration = self.typical_duration(&queue);
+                (queue, duration)
             })
             .collect()
     }
 
+    /// Returns the assumed minimum run time of the tasks of a queue.
+    pub(super) fn typical_duration(&mut self, queue: &str) -> Duration {
+        let kind = self.run_times.kind_of_queue(queue);
+        let declared = Some(Duration::ZERO);
+        let p50 = self.run_times.estimate(kind, declared).p50;
+        p50.mul_f64(TYPICAL_DURATION_FACTOR)
+    }
+
     /// Returns the claims: the jobs of priority 0 that fit into the guarantee
     /// of their workspace, which is used up in the order in which they were
     /// accepted.
@@ -243,6 +257,7 @@
                 free: worker.free(),
                 expected: Resources::default(),
                 capacity: upstream.capacity,
+                max_tasks: self.health.max_tasks(agent),
                 speed_class: self.speeds.speed_class(now.monotonic, agent),
             })
             .collect()
@@ -262,12 +277,13 @@
         let Some(step) = job.batch.step(group.first()) else {
             return 0;
         };
+        let avoidance = self.avoidance(now, group, candidates);
         let tasks_by_agent = tasks_by_agent(job, group.first());
         let mut request = PlacementRequest {
             service: &job.batch.service,
             step,
             tasks_by_agent: &tasks_by_agent,
-            excluded_agents: &job.excluded_agents,
+            excluded_agents: &avoidance.agents,
             prefer_fast: group.priority == 0,
         };
         let allow_spread = may_spread(now, group, &request, candidates);
@@ -281,9 +297,11 @@
             }
         };
         let mut assignment = assign(&request);
-        if assignment.is_empty() && !job.excluded_agents.is_empty() {
-            // Nothing fits elsewhere, so the excluded agents are used as well.
-            request.excluded_agents = &[];
+        if assignment.is_empty()
+            && let Some(agents) = &avoidance.fallback
+        {
+            // Nothing fits elsewhere, so the avoided agents are used as well.
+            request.excluded_agents = agents;
             assignment = assign(&request);
         }
         let needs = step.needs;
@@ -292,6 +310,8 @@
         for (candidate, count) in assignment {
             candidates[candidate].free =
                 candidates[candidate].free.minus(&scaled(&needs, count));
+            candidates[candidate].max_tasks =
+                candidates[candidate].max_tasks.saturating_sub(count);
             for task in tasks.by_ref().take(count as usize) {
                 placed.push((task, candidates[candidate].agent.clone()));
             }
@@ -323,6 +343,7 @@
         let needs = job.batch.step(group.first()).map(|s| s.needs);
         let needs = needs.unwrap_or_default();
         let mut detail = String::new();
+        let mut probes = Vec::new();
         for (task, agent) in placed {
             let Some(worker) = self.workers.get_mut(&agent) else {
                 continue;
@@ -338,6 +359,9 @@
             let checkpoint =
                 checkpoint.map(|t| t.checkpoint.clone()).unwrap_or_default();
             worker.allocations.insert(task, needs);
+            if self.health.record_placement(&agent, task, run) {
+                probes.push(format!("agent={agent} task={task} run={run}"));
+            }
             let _ = write!(detail, " {task}/{run}@{agent}");
             let to = Placement {
                 agent,
@@ -354,6 +378,9 @@
         );
         self.dirty.insert(id);
         self.record_event(Code::JobPlaced, id, &detail);
+        for detail in probes {
+            self.record_event(Code::WorkerProbed, id, &detail);
+        }
     }
 }
 
@@ -424,15 +451,25 @@
             // Creates the progress of the task, which placement relies on.
             job.task_mut(*task);
         }
-        groups.push(TaskGroup {
+        let due_ms = job.due_ms(occurrence);
+        let expected_ms =
+            u64::try_from(expected_duration.as_millis()).unwrap_or(u64::MAX);
+        let group = TaskGroup {
             tasks,
             gang,
             priority: job.batch.priority,
             ready_at,
-            due_ms: job.due_ms(occurrence),
+            due_ms,
             claim: cx.claim,
             slack: job.slack(cx.typical_duration),
             max_rack_wait,
-        });
+            history: FailureHistory::default(),
+            latest_start_ms: due_ms.saturating_sub(expected_ms),
+        };
+        if cx.worker_health {
+            groups.extend(avoidance::split(cx.now, job, group));
+        } else {
+            groups.push(group);
+        }
     }
 }
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -181,6 +181,8 @@
                 .fold(candidate.expected, |sum, v| sum.plus(&v.needs));
             victims.take(&candidate.agent, &tasks);
             let reserved = scaled(&step.needs, option.fit);
+            candidate.max_tasks =
+                candidate.max_tasks.saturating_sub(option.fit);
             candidate.free = candidate.free.minus(&reserved.minus(&expected));
             candidate.expected = expected.minus(&reserved);
         }
@@ -188,8 +190,8 @@
 
     /// Returns the options that free capacity for the group at the least
     /// cost. A gang gets capacity for all its tasks or none; another group for
-    /// as many of its tasks as possible. Workers on which the job failed are
-    /// used only if there is no other way.
+    /// as many of its tasks as possible. Workers that the group avoids are
+    /// used only if there is no other way, and if it may fall back to them.
     fn choose_options(
         &self,
         now: Now,
@@ -204,6 +206,7 @@
         let Some(step) = job.batch.step(group.first()) else {
             return Vec::new();
         };
+        let avoidance = self.avoidance(now, group, candidates);
         let tasks_by_agent = tasks_by_agent(job, group.first());
         let pending = group.tasks.iter().filter(|t| !job.runs.contains_key(t));
         let mut search = Search {
@@ -211,7 +214,7 @@
                 service: &job.batch.service,
                 step,
                 tasks_by_agent: &tasks_by_agent,
-                excluded_agents: &job.excluded_agents,
+                excluded_agents: &avoidance.agents,
                 prefer_fast: group.priority == 0,
             },
             candidates,
@@ -220,10 +223,13 @@
             count: u32::try_from(pending.count()).unwrap_or(0),
         };
         let options = search.options_for(now, group);
-        if !options.is_empty() || job.excluded_agents.is_empty() {
+        let Some(fallback) = &avoidance.fallback else {
+            return options;
+        };
+        if !options.is_empty() {
             return options;
         }
-        search.request.excluded_agents = &[];
+        search.request.excluded_agents = fallback;
         search.options_for(now, group)
     }
 }
--- a/crates/coordination/src/scheduler/reclaim/search.rs
+++ b/crates/coordination/src/scheduler/reclaim/search.rs
@@ -189,7 +189,7 @@
         let base = candidate.free.plus(&candidate.expected);
         let fit = |available: &Resources| {
             self.request
-                .fitting_tasks(candidate, available)
+                .placeable_tasks(candidate, available)
                 .min(self.count)
         };
         let mut priced: Vec<(f64, &Victim)> = self
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -278,8 +278,12 @@
         {
             run.checkpoint.clone_from(&ended.checkpoint);
         }
+        let mut failure = RunResult::Failed;
         if is_current && let Some(run) = self.release(id, ended.end.name()) {
             self.record_run_time(now, id, &run, ended.end);
+            if ended.end == RunEnd::Failed {
+                failure = self.failure_of(now, id, &run);
+            }
         }
         match ended.end {
             RunEnd::Done => {
@@ -289,7 +293,7 @@
                 if let Some(job) = self.jobs.get_mut(&id.job) {
                     job.count_failure(id, ended.run);
                 }
-                self.record_failure(now, id, agent, RunResult::Failed);
+                self.record_failure(now, id, agent, failure);
                 self.request_gang_stop(id, "a gang member failed");
                 self.update_job_state(now, id.job);
             }
@@ -322,9 +326,7 @@
 
     /// Marks the task of a successful run as done.
     fn handle_success(&mut self, now: Now, agent: &str, id: TaskId) {
-        if let Some(worker) = self.workers.get_mut(agent) {
-            worker.record_result(now.monotonic, id.job, RunResult::Succeeded);
-        }
+        self.record_success(now, id, agent);
         self.mark_done(now, id);
         // A later run of the same task has nothing left to do.
         let gang = self
@@ -373,6 +375,7 @@
         if running.percent > run.percent {
             run.percent = running.percent;
             run.progressed_at = now.monotonic;
+            job.has_progressed = true;
         }
         let observation = Observation {
             task: running.task,
--- a/crates/coordination/src/scheduler/watch.rs
+++ b/crates/coordination/src/scheduler/watch.rs
@@ -160,6 +160,10 @@
         agent: &str,
         result: RunResult,
     ) {
+        if self.features.worker_health {
+            self.record_evidence(now, id, agent, result);
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(&id.job)
             && !job.excluded_agents.iter().any(|a| a == agent)
         {
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -38,6 +38,8 @@
     Succeeded,
     /// The run failed.
     Failed,
+    /// The run failed without progress, soon after its start.
+    FailedEarly,
     /// The run made no progress, or was refused by an unhealthy upstream.
     Stuck,
 }
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -23,6 +23,7 @@
 mod sim;
 mod speeds;
 mod starts;
+mod worker_health;
 
 use figrill_state::batch::{BatchId, BatchState};
 use sim::{Sim, gang, job};
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -17,6 +17,8 @@
 use figrill_coordination::scheduler::{Commit, Now, Scheduler};
 use figrill_example::pool::{Node, Pool};
 use figrill_state::batch::{Batch, BatchId, Progress};
+use figrill_state::event::Code;
+use figrill_state::features::Features;
 use figrill_state::limits::Limits;
 
 use agents::{Agent, upstream};
@@ -50,6 +52,8 @@
     pub now_ms: u64,
     pub pool: Pool,
     pub scheduler: Scheduler,
+    /// The features of each coordinator.
+    features: Features,
     pub faults: Faults,
     /// The fencing token of the current coordinator.
     pub token: u64,
@@ -72,6 +76,9 @@
     pub start_orders: Vec<(u64, String)>,
     /// The details of the quarantines of workers.
     pub quarantines: Vec<String>,
+    /// The events about the health of workers: the time in milliseconds, the
+    /// code and the details.
+    pub health_events: Vec<(u64, Code, String)>,
     /// The records of jobs in the store, each with the revision at which it was
     /// written.
     batches: BTreeMap<BatchId, (Batch, u64)>,
@@ -95,6 +102,15 @@
 impl Sim {
     /// Returns a site with the given number of workers, three to a rack.
     pub fn new(workers: usize, seed: u64) -> Self {
+        Self::with_features(workers, seed, Features::default())
+    }
+
+    /// Returns a site like [`Self::new`] with features of the scheduler.
+    pub fn with_features(
+        workers: usize,
+        seed: u64,
+        features: Features,
+    ) -> Self {
         let mut pool = Pool::default();
         let mut agents = BTreeMap::new();
         for i in 0..workers {
@@ -106,6 +122,7 @@
             now_ms: 0,
             pool,
             scheduler: Scheduler::new(1, Now::default(), Limits::default()),
+            features,
             faults: Faults::default(),
             token: 0,
             store_up: true,
@@ -116,6 +133,7 @@
             held_up_holds_ms: BTreeMap::new(),
             start_orders: Vec::new(),
             quarantines: Vec::new(),
+            health_events: Vec::new(),
             batches: BTreeMap::new(),
             revision: 1,
             progress: BTreeMap::new(),
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -62,6 +62,12 @@
             {
                 self.quarantines.push(event.detail.clone());
             }
+            if let Action::RecordEvent(event) = &action
+                && (1505..=1513).contains(&event.code.number())
+            {
+                let detail = event.detail.clone();
+                self.health_events.push((self.now_ms, event.code, detail));
+            }
             if let Action::Send { agent, message } = action {
                 if let ToAgent::Start { upstream, start } = message {
                     let order =
--- a/crates/example/src/pool.rs
+++ b/crates/example/src/pool.rs
@@ -46,6 +46,20 @@
     /// The work done so far, in milliseconds.
     progress_ms: u64,
     stop_at_ms: Option<u64>,
+    /// The time since its start, in milliseconds, after which it fails without
+    /// progress.
+    fails_after_ms: Option<u64>,
+}
+
+impl Run {
+    /// Returns whether a run has failed after `waited` milliseconds, by its
+    /// own fault or that of its node.
+    fn has_failed(&self, task: TaskId, waited: u64) -> bool {
+        let completed = self.progress_ms >= self.spec.duration_ms;
+        completed && self.spec.fails
+            || self.fails_after_ms.is_some_and(|ms| waited >= ms)
+            || self.spec.has_fault(task, self.number, self.progress_ms)
+    }
 }
 
 /// One upstream.
@@ -57,6 +71,9 @@
     pub reachable: bool,
     /// Whether every task fails once its work is complete.
     pub fails_all: bool,
+    /// The time, in milliseconds, after which every run that starts now fails
+    /// without progress.
+    pub fails_after_ms: Option<u64>,
     /// Whether every start is refused, as by an unhealthy upstream.
     pub refuses_starts: bool,
     /// The speed in percent of the normal speed.
@@ -85,6 +102,7 @@
             upstream,
             reachable: true,
             fails_all: false,
+            fails_after_ms: None,
             refuses_starts: false,
             speed_percent: 100,
             fencing_token: 0,
@@ -212,6 +230,7 @@
             started_ms: now_ms,
             progress_ms: start.checkpoint.parse().unwrap_or(0),
             stop_at_ms: None,
+            fails_after_ms: node.fails_after_ms,
         };
         let earlier_run = node.runs.insert(start.task, run);
         self.last_starts.insert(start.task, self.trace.len());
@@ -336,7 +355,10 @@
                 let gang_complete = run.spec.gang_size == 0
                     || self.count_members(*task, run.number)
                         >= run.spec.gang_size;
-                if gang_complete && !run.spec.hangs {
+                if gang_complete
+                    && !run.spec.hangs
+                    && run.fails_after_ms.is_none()
+                {
                     advancing.push((agent.clone(), *task));
                 }
             }
@@ -372,7 +394,9 @@
                     Some(RunEnd::Lapsed)
                 } else if run.stop_at_ms.is_some_and(|at| now_ms >= at) {
                     Some(RunEnd::Stopped)
-                } else if completed && (run.spec.fails || node.fails_all) {
+                } else if run.has_failed(*task, waited)
+                    || completed && node.fails_all
+                {
                     Some(RunEnd::Failed)
                 } else if completed && run.spec.gang_size == 0 {
                     Some(RunEnd::Done)
--- a/crates/example/src/pool/task_spec.rs
+++ b/crates/example/src/pool/task_spec.rs
@@ -1,6 +1,6 @@
 //! The payloads of tasks.
 
-use figrill_state::batch::Resources;
+use figrill_state::batch::{Resources, TaskId};
 
 /// What the payload of a task asks for.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -13,6 +13,12 @@
     pub gang_size: u32,
     /// Whether the task fails once its work is complete.
     pub fails: bool,
+    /// The percentage of runs that fail by the fault of the task, at any point
+    /// after the first twentieth of their work.
+    pub fault_percent: u64,
+    /// The index of the task of the step whose runs all fail by its own fault,
+    /// after 40 % of their work.
+    pub faulty_index: Option<u32>,
     /// Whether the task makes no progress.
     pub hangs: bool,
 }
@@ -36,10 +42,36 @@
                 "gpu" => spec.resources.accelerators = value,
                 "gang" => spec.gang_size = u32::try_from(value).unwrap_or(0),
                 "fail" => spec.fails = true,
+                "fault" => spec.fault_percent = value,
+                "faulty" => spec.faulty_index = u32::try_from(value).ok(),
                 "hang" => spec.hangs = true,
                 _ => {}
             }
         }
         spec
     }
+
+    /// Returns whether a run fails by the fault of the task once it has done
+    /// `progress_ms` of its work. The same run always does.
+    #[must_use]
+    pub fn has_fault(&self, task: TaskId, run: u32, progress_ms: u64) -> bool {
+        let seed = task.job.0 << 32
+            ^ u64::from(task.step) << 24
+            ^ u64::from(task.index) << 8
+            ^ u64::from(run);
+        let draw = mix(seed);
+        let fault_at_percent = 5 + draw / 100 % 95;
+        let is_past =
+            |percent| progress_ms * 100 >= self.duration_ms * percent;
+        draw % 100 < self.fault_percent && is_past(fault_at_percent)
+            || self.faulty_index == Some(task.index) && is_past(40)
+    }
+}
+
+/// Returns a number that looks random, from a seed (`SplitMix64`).
+const fn mix(seed: u64) -> u64 {
+    let z = seed.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    z ^ (z >> 31)
 }
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -92,6 +92,8 @@
     EndsIncomplete 1509 Warn "an upstream has more ended runs than it lists at a time, so runs that it does not list are not given up",
     EndsComplete 1510 Info "an upstream lists all its ended runs again",
     UpstreamFenced 1511 Info "an agent raised the fencing token of its upstream, which now refuses calls that were meant for a former incarnation",
+    WorkerRestored 1512 Info "a worker that was suspect is given normal load again",
+    SuspicionIgnored 1513 Warn "more than a third of the workers are suspect, so the cause is probably not the workers and suspicions are ignored",
     JobAccepted 2001 Debug "an entry accepted a job",
     JobRefused 2002 Info "an entry or the coordinator refused a job; it was not run",
     JobQueued 2003 Debug "the coordinator queued a job",
