--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -29,11 +29,14 @@
 use message::{Grant, Report, ToAgent};
 use worker::Worker;
 
+mod avoidance;
 mod commit;
 mod drains;
 mod ended_jobs;
 mod endings;
+mod evidence;
 mod fences;
+mod health;
 mod incarnations;
 mod job;
 pub mod message;
@@ -115,6 +118,7 @@
     run_times: RunTimeEstimator,
     speeds: speed::Speeds,
     learnt_speeds: speed::LearntSpeeds,
+    health: health::Health,
     pending_work: PendingWork,
     actions: Vec<Action>,
 }
@@ -153,6 +157,7 @@
             run_times: RunTimeEstimator::default(),
             speeds: speed::Speeds::default(),
             learnt_speeds: speed::LearntSpeeds::default(),
+            health: health::Health::default(),
             pending_work: PendingWork::default(),
             actions: Vec::new(),
         }
@@ -324,6 +329,7 @@
             self.pending_work.next_check = now.monotonic + CHECK_INTERVAL;
             self.release_expired(now);
             self.check_runs(now);
+            self.update_health(now);
             self.remove_ended_jobs(now);
             self.check_drains(now);
         }
--- a/crates/coordination/src/scheduler/pace.rs
+++ b/crates/coordination/src/scheduler/pace.rs
@@ -96,7 +96,7 @@
         let (code, speed) = match change {
             SpeedChange::Learnt(speed) => (Code::WorkerSpeed, speed),
             SpeedChange::Slowed(speed) => (Code::WorkerSlowed, speed),
-            SpeedChange::Restored(speed) => (Code::WorkerRestored, speed),
+            SpeedChange::Restored(speed) => (Code::WorkerSpeedRestored, speed),
         };
         let detail = format!(
             "agent={agent} speed={:.2} sd={:.2}",
--- a/crates/coordination/tests/fleet/learnt_speeds.rs
+++ b/crates/coordination/tests/fleet/learnt_speeds.rs
@@ -218,7 +218,7 @@
         assert!(logged_speed(&sim, AGENT) < 0.5, "{:?}", sim.worker_events);
         sim.run(2000);
         set(&mut sim, 100);
-        let cleared = sim.run_until(1400, has(Code::WorkerRestored));
+        let cleared = sim.run_until(1400, has(Code::WorkerSpeedRestored));
         assert!(cleared, "{percent}: {:?}", sim.worker_events);
         let error = logged_speed(&sim, AGENT).ln().abs();
         assert!(error < 0.2, "{percent}: {:?}", sim.worker_events);
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -26,6 +26,7 @@
 mod speed_load;
 mod speeds;
 mod starts;
+mod worker_health;
 
 use figrill_state::batch::{BatchId, BatchState};
 use sim::{Sim, gang, job};
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -85,6 +85,9 @@
     pub quarantines: Vec<String>,
     /// The events about drains that the scheduler recorded.
     pub drain_events: Vec<Code>,
+    /// The events about the health of workers: the time in milliseconds, the
+    /// code and the details.
+    pub health_events: Vec<(u64, Code, String)>,
     /// The records of jobs in the store, each with the revision at which it was
     /// written.
     batches: BTreeMap<BatchId, (Batch, u64)>,
@@ -108,6 +111,15 @@
 impl Sim {
     /// Returns a site with the given number of workers, three to a rack.
     pub fn new(workers: usize, seed: u64) -> Self {
+        Self::with_features(workers, seed, Features::default())
+    }
+
+    /// Returns a site like [`Self::new`] with features of the scheduler.
+    pub fn with_features(
+        workers: usize,
+        seed: u64,
+        features: Features,
+    ) -> Self {
         let mut pool = Pool::default();
         let mut agents = BTreeMap::new();
         for i in 0..workers {
@@ -119,6 +131,7 @@
             now_ms: 0,
             pool,
             scheduler: Scheduler::new(1, Now::default(), Limits::default()),
+            features,
             faults: Faults::default(),
             token: 0,
             store_up: true,
@@ -130,10 +143,10 @@
             held_up_starts_ms: Vec::new(),
             held_up_holds_ms: BTreeMap::new(),
             start_orders: Vec::new(),
-            features: Features::default(),
             worker_events: Vec::new(),
             quarantines: Vec::new(),
             drain_events: Vec::new(),
+            health_events: Vec::new(),
             batches: BTreeMap::new(),
             revision: 1,
             progress: BTreeMap::new(),
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -72,6 +72,12 @@
             {
                 self.worker_events.push(event.clone());
             }
+            if let Action::RecordEvent(event) = &action
+                && (1505..=1513).contains(&event.code.number())
+            {
+                let detail = event.detail.clone();
+                self.health_events.push((self.now_ms, event.code, detail));
+            }
             if let Action::Send { agent, message } = action {
                 if let ToAgent::Start { upstream, start } = message {
                     let order =
