Order and preempt work by the cost of its delay

Cause: within a priority, the earliest deadline went first even when it had passed, so late work held up work that could still end in time. Preemption compared only amounts of work, and claims stopped the cheapest runs whatever their callers lost.

Change: with the feature delay_cost, one model (scheduler/cost.rs) gives the value of work by its priority, its deadline and its expected run time. Work that can end in time goes first, by its latest start; late work gets turns, so that it does not starve. Work other than claims preempts only if it gains clearly more value than is lost, and within a budget of lost core-seconds. Claims choose their victims by the same loss. A declined preemption is logged as E2016. Without the feature, decisions are the same as before.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -30,6 +30,8 @@
 use worker::Worker;
 
 mod commit;
+mod cost;
+mod delay_order;
 mod ended_jobs;
 mod endings;
 mod fences;
@@ -111,6 +113,7 @@
     commit_state: commit::CommitState,
     run_times: RunTimeEstimator,
     speeds: speed::Speeds,
+    delay_costs: cost::DelayCosts,
     pending_work: PendingWork,
     actions: Vec<Action>,
 }
@@ -147,6 +150,7 @@
             commit_state: commit::CommitState::default(),
             run_times: RunTimeEstimator::default(),
             speeds: speed::Speeds::default(),
+            delay_costs: cost::DelayCosts::default(),
             pending_work: PendingWork::default(),
             actions: Vec::new(),
         }
--- /dev/null
+++ b/crates/coordination/src/scheduler/delay_order.rs
@@ -0,0 +1,57 @@
+//! The order of waiting groups by the cost of their delay; see [`super::cost`].
+
+use super::{
+    Now, Scheduler,
+    cost::{Lateness, turns::Waiting},
+    plan::TaskGroup,
+};
+
+impl Scheduler {
+    /// Orders groups by what their delay costs, and decides whose turn it is
+    /// among those that are late.
+    pub(super) fn order_by_delay_cost(
+        &mut self,
+        now: Now,
+        groups: &mut [TaskGroup],
+    ) {
+        let waiting = groups.iter().map(|g| Waiting {
+            first: g.first(),
+            ready_at: g.ready_at,
+            demand: g.demand,
+        });
+        let turns = &self.delay_costs.turns;
+        let turn = turns.next(now.monotonic, now.wall_ms, waiting);
+        for group in groups.iter_mut() {
+            group.has_turn = turn == Some(group.first());
+        }
+        groups.sort_by_cached_key(|g| {
+            g.demand.order(now.wall_ms, g.first(), g.has_turn)
+        });
+    }
+
+    /// Records the placement of tasks of a group for the turns of late ones.
+    pub(super) fn record_turn(&mut self, group: &TaskGroup, placed: u32) {
+        if placed == 0 || !self.features.delay_cost {
+            return;
+        }
+        let fraction = f64::from(placed) / f64::from(group.count());
+        let work = group.demand.work * fraction;
+        let turns = &mut self.delay_costs.turns;
+        turns.record_placement(work, group.has_turn);
+    }
+
+    /// Returns whether capacity is freed or reserved for a group as soon as it
+    /// does not fit. A late group gains nothing by that unless it has a turn.
+    pub(super) fn gets_capacity_at_once(
+        &self,
+        now: Now,
+        group: &TaskGroup,
+    ) -> bool {
+        if !self.features.delay_cost {
+            return group.priority == 0;
+        }
+        let is_in_time =
+            || group.demand.lateness(now.wall_ms) == Lateness::InTime;
+        group.claim || group.has_turn || group.priority == 0 && is_in_time()
+    }
+}
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -149,6 +149,9 @@
     /// How often a run of a task was stopped because it made no progress. The
     /// next one is given more time: the task may just be a long one.
     pub(super) stalls: BTreeMap<TaskId, u32>,
+    /// How often each task, or the gang with this first member, was preempted
+    /// under this coordinator.
+    preemptions: BTreeMap<TaskId, u32>,
     /// Whether the store does not accept the job's progress.
     pub(super) is_unstorable: bool,
 }
@@ -162,6 +165,7 @@
             ready_at: BTreeMap::new(),
             excluded_agents: Vec::new(),
             stalls: BTreeMap::new(),
+            preemptions: BTreeMap::new(),
             is_unstorable: false,
         }
     }
@@ -267,12 +271,7 @@
     /// Counts a failed run of a task. A failed run of a gang counts once,
     /// however many of its members fail: it is counted in the first member.
     pub(super) fn count_failure(&mut self, task: TaskId, run: u32) {
-        let gang = self.batch.step(task).is_some_and(|s| s.gang);
-        let counting_task = if gang {
-            TaskId { index: 0, ..task }
-        } else {
-            task
-        };
+        let counting_task = self.counting_task(task);
         if let Some(progress) = self.task_mut(counting_task)
             && progress.failed_run < run
         {
@@ -281,6 +280,29 @@
         }
     }
 
+    /// Returns the task in which events of a task are counted that concern its
+    /// whole gang: the first member of the gang, or the task itself.
+    fn counting_task(&self, task: TaskId) -> TaskId {
+        let gang = self.batch.step(task).is_some_and(|s| s.gang);
+        if gang {
+            TaskId { index: 0, ..task }
+        } else {
+            task
+        }
+    }
+
+    /// Counts a preemption of a task, together with its gang.
+    pub(super) fn count_preemption(&mut self, task: TaskId) {
+        let key = self.counting_task(task);
+        *self.preemptions.entry(key).or_insert(0) += 1;
+    }
+
+    /// Returns how often a task, or its gang, was preempted.
+    pub(super) fn preemptions(&self, task: TaskId) -> u32 {
+        let key = self.counting_task(task);
+        self.preemptions.get(&key).copied().unwrap_or(0)
+    }
+
     /// Records a placement in memory. It must be committed before the start
     /// is ordered.
     pub(super) fn place(
@@ -365,16 +387,38 @@
     /// Returns the latest end of an occurrence that still meets the caller's
     /// deadline, in milliseconds since 1970.
     pub(super) fn due_ms(&self, occurrence: u32) -> u64 {
-        let start_ms = if self.batch.schedule.is_some() {
-            self.batch.due_ms(occurrence)
-        } else {
-            self.batch.accepted_ms
-        };
         let critical_path = Duration::from_millis(self.critical_path_ms());
         let allowed =
             critical_path.mul_f64(self.batch.stretch.clamp(0.0, 1e6));
         let allowed = allowed + self.batch.target;
-        start_ms + u64::try_from(allowed.as_millis()).unwrap_or(0)
+        self.allowed_from_ms(occurrence)
+            + u64::try_from(allowed.as_millis()).unwrap_or(0)
+    }
+
+    /// Returns when the time allowed for an occurrence begins, in
+    /// milliseconds since 1970.
+    pub(super) fn allowed_from_ms(&self, occurrence: u32) -> u64 {
+        if self.batch.schedule.is_some() {
+            self.batch.due_ms(occurrence)
+        } else {
+            self.batch.accepted_ms
+        }
+    }
+
+    /// Returns the length of the longest chain of steps that follow a step,
+    /// by their estimates.
+    pub(super) fn time_after_step(&self, step: u32) -> Duration {
+        let mut chain_ms: BTreeMap<u32, u64> = BTreeMap::from([(step, 0)]);
+        let mut latest_ms = 0;
+        for (index, spec) in (0..).zip(&self.batch.steps).skip(1) {
+            let follows = spec.after.iter().filter_map(|s| chain_ms.get(s));
+            if let Some(start_ms) = follows.max().copied() {
+                let end_ms = start_ms + spec.estimate_ms;
+                chain_ms.insert(index, end_ms);
+                latest_ms = latest_ms.max(end_ms);
+            }
+        }
+        Duration::from_millis(latest_ms)
     }
 
     /// Returns how long the job may wait in total and still meet its
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -2,8 +2,10 @@
 //!
 //! The order is meant for heavy bursts of work. Priority 0, the highest, goes
 //! first; within it, claims on a workspace's guarantee go first. After that,
-//! the earliest deadline goes first. Work of lower priority that has waited
-//! long gets a reservation, so that later and smaller work cannot starve it.
+//! the earliest deadline goes first, or with the feature `delay_cost` the work
+//! whose delay costs most; see [`super::cost`]. Work of lower priority that has
+//! waited long gets a reservation, so that later and smaller work cannot starve
+//! it.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -18,8 +20,10 @@
 
 use super::{
     Now, Scheduler,
+    cost::Demand,
     job::Job,
     place::{Assignment, Candidate, PlacementRequest, scaled},
+    victims::cores,
 };
 
 /// How long a group of tasks below priority 0 waits before capacity is freed
@@ -56,6 +60,11 @@
     /// How long it waits for capacity on one rack, if it is bound to one,
     /// before it is spread over several.
     pub(super) max_rack_wait: Duration,
+    /// What the cost of its delay depends on.
+    pub(super) demand: Demand,
+    /// Whether it is late and goes before others, because it would starve
+    /// otherwise.
+    pub(super) has_turn: bool,
 }
 
 /// What the groups of a job are built from, besides the job itself.
@@ -91,23 +100,32 @@
     /// once they have waited for [`RESERVATION_WAIT`].
     pub(super) fn plan(&mut self, now: Now) {
         let claims = self.claims();
+        if self.features.delay_cost {
+            self.refill_budget(now);
+        }
         let mut groups = self.pending_groups(now, &claims);
         if groups.is_empty() {
             return;
         }
-        groups.sort_by_key(|g| (g.priority, !g.claim, g.due_ms, g.first()));
+        if self.features.delay_cost {
+            self.order_by_delay_cost(now, &mut groups);
+        } else {
+            groups
+                .sort_by_key(|g| (g.priority, !g.claim, g.due_ms, g.first()));
+        }
         let mut candidates = self.candidates(now);
         let mut victims = None;
         let mut reserved = 0;
         for group in &groups {
             let placed = self.place_group(now, group, &mut candidates);
+            self.record_turn(group, placed);
             if placed == group.count() {
                 continue;
             }
             let waited = now.monotonic.saturating_sub(group.ready_at);
             let is_next =
                 waited >= RESERVATION_WAIT && reserved < MAX_RESERVATIONS;
-            if group.priority > 0 {
+            if !self.gets_capacity_at_once(now, group) {
                 if !is_next {
                     continue;
                 }
@@ -420,6 +438,8 @@
         } else {
             expected_duration.mul_f64(cx.rack_patience)
         };
+        let needs = job.batch.steps[step as usize].needs;
+        let count = f64::from(u32::try_from(tasks.len()).unwrap_or(u32::MAX));
         for task in &tasks {
             // Creates the progress of the task, which placement relies on.
             job.task_mut(*task);
@@ -433,6 +453,15 @@
             claim: cx.claim,
             slack: job.slack(cx.typical_duration),
             max_rack_wait,
+            demand: Demand {
+                priority: job.batch.priority,
+                claim: cx.claim,
+                work: cores(&needs) * expected_duration.as_secs_f64() * count,
+                expected: expected_duration + job.time_after_step(step),
+                accepted_ms: job.allowed_from_ms(occurrence),
+                due_ms: job.due_ms(occurrence),
+            },
+            has_turn: false,
         });
     }
 }
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -4,7 +4,9 @@
 //! and also work of priority 0 beyond a guarantee; other work of priority 0
 //! for a loss below its own work; and the rest, once it has waited, for hardly
 //! any loss. Where that is not enough it gets a reservation: capacity that is
-//! held back for it as runs end.
+//! held back for it as runs end. With the feature `delay_cost`, the value that
+//! the work gains is compared with the value that is lost instead; see
+//! [`super::cost`].
 //!
 //! The decisions are meant for bursts of urgent work on a full site. Capacity
 //! that one group is given, now or when runs have ended, is not counted for
@@ -21,10 +23,11 @@
     victims::{GangKey, Victim, Victims, cores},
 };
 
+mod by_value;
 mod search;
 
 use search::{
-    CapacityOption, FreeingMode, PreemptionPolicy, Search, total_cost,
+    CapacityOption, FreeingMode, PreemptionPolicy, Pricing, Search, total_cost,
 };
 
 /// The time that a claim needs, besides the grace period of the stopped runs,
@@ -60,6 +63,10 @@
         candidates: &mut [Candidate],
         victims: &mut Victims,
     ) {
+        if self.features.delay_cost {
+            self.preempt_by_value(now, group, candidates, victims);
+            return;
+        }
         let waited = now.monotonic.saturating_sub(group.ready_at);
         let slack_wait = group.slack.mul_f64(SLACK_WAIT_FRACTION);
         // Only claims have a time limit for their start; other work may wait
@@ -77,6 +84,7 @@
             short_wait_s: remaining_s(max_wait.min(slack_wait)),
             long_wait_s: remaining_s(max_wait),
             high_loss: HIGH_LOSS_FRACTION * self.work(group),
+            pricing: Pricing::Work,
         };
         let mode = FreeingMode::Preempt(policy);
         let options =
@@ -90,21 +98,9 @@
             self.reserve(now, group, candidates, victims);
             return;
         }
-        for option in &options {
-            let agent = &candidates[option.candidate].agent;
-            let stopped: Vec<Victim> = victims
-                .on(agent)
-                .iter()
-                .filter(|v| option.victims.contains(&v.task))
-                .filter(|v| !v.stopping && !policy.lets_finish(v))
-                .cloned()
-                .collect();
-            for victim in stopped {
-                self.preempt_run(group, victim.task);
-                if let Some(gang) = victim.gang {
-                    victims.mark_stopping(gang);
-                }
-            }
+        let stopped = stopped_victims(&policy, &options, candidates, victims);
+        for victim in stopped {
+            self.preempt_run(group, &victim, victims, "");
         }
         self.reserve_options(group, &options, candidates, victims);
     }
@@ -144,17 +140,31 @@
         self.reserve_options(group, &options, candidates, victims);
     }
 
-    /// Stops a victim, and its gang if it is a member of one.
-    fn preempt_run(&mut self, group: &TaskGroup, victim: TaskId) {
-        let job = self.jobs.get(&victim.job);
-        let run = job.and_then(|j| j.runs.get(&victim));
+    /// Stops a victim, and its gang if it is a member of one. `reason` is
+    /// added to the log line.
+    fn preempt_run(
+        &mut self,
+        group: &TaskGroup,
+        victim: &Victim,
+        victims: &mut Victims,
+        reason: &str,
+    ) {
+        if let Some(gang) = victim.gang {
+            victims.mark_stopping(gang);
+        }
+        let task = victim.task;
+        let job = self.jobs.get_mut(&task.job);
+        let run = job.as_ref().and_then(|j| j.runs.get(&task));
         if run.is_none_or(|r| r.stopping.is_some()) {
             return;
         }
-        let detail = format!("victim={victim} for={}", group.first());
+        if let Some(job) = job {
+            job.count_preemption(task);
+        }
+        let detail = format!("victim={task} for={}{reason}", group.first());
         self.record_event(Code::ReclaimStarted, group.first().job, &detail);
-        self.request_stop(victim, "the run is preempted");
-        self.request_gang_stop(victim, "a gang member is preempted");
+        self.request_stop(task, "the run is preempted");
+        self.request_gang_stop(task, "a gang member is preempted");
     }
 
     /// Reserves the capacity of options, so that later groups of this pass can
@@ -227,3 +237,27 @@
         search.options_for(now, group)
     }
 }
+
+/// Returns the runs that have to be stopped for options. Gangs of earlier
+/// options are left out, as they are stopped whole.
+fn stopped_victims(
+    policy: &PreemptionPolicy,
+    options: &[CapacityOption],
+    candidates: &[Candidate],
+    victims: &Victims,
+) -> Vec<Victim> {
+    let mut stopped: Vec<Victim> = Vec::new();
+    for option in options {
+        let agent = &candidates[option.candidate].agent;
+        let gangs: BTreeSet<GangKey> =
+            stopped.iter().filter_map(|v| v.gang).collect();
+        let chosen = victims
+            .on(agent)
+            .iter()
+            .filter(|v| option.victims.contains(&v.task))
+            .filter(|v| !v.stopping && !policy.lets_finish(v))
+            .filter(|v| v.gang.is_none_or(|g| !gangs.contains(&g)));
+        stopped.extend(chosen.cloned());
+    }
+    stopped
+}
--- a/crates/coordination/src/scheduler/reclaim/search.rs
+++ b/crates/coordination/src/scheduler/reclaim/search.rs
@@ -25,15 +25,15 @@
     pub(super) victims: Vec<TaskId>,
     /// The gangs among them.
     gangs: Vec<GangKey>,
-    /// The work lost in core-seconds, or the waiting time in seconds; only
+    /// The loss by the policy's pricing, or the waiting time in seconds; only
     /// comparable between options of the same mode.
-    cost: f64,
+    pub(super) cost: f64,
 }
 
 /// How capacity is freed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum FreeingMode {
-    /// Runs are stopped, and the cost is the work lost. Runs that are expected
+    /// Runs are stopped, and the cost is what is lost. Runs that are expected
     /// to end soon cost almost nothing and are left to end.
     Preempt(PreemptionPolicy),
     /// Nothing is stopped, and the cost is the time until runs end.
@@ -53,15 +53,29 @@
     /// A run that would lose more than `high_loss` is not stopped if it ends
     /// within this many seconds.
     pub(super) long_wait_s: f64,
-    /// The loss of work, in core-seconds, above which `long_wait_s` applies.
+    /// The loss above which `long_wait_s` applies.
     pub(super) high_loss: f64,
+    /// How the loss of a run is measured.
+    pub(super) pricing: Pricing,
+}
+
+/// How the loss of a run that is stopped is measured.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Pricing {
+    /// By its work, in core-seconds.
+    Work,
+    /// By the value that its caller loses.
+    Value {
+        /// The seconds by which its next run is delayed at least.
+        delay_s: f64,
+    },
 }
 
 impl PreemptionPolicy {
     /// Returns whether a run is left to end by itself.
     pub(super) fn lets_finish(&self, victim: &Victim) -> bool {
         victim.remaining_s <= self.short_wait_s
-            || victim.lost > self.high_loss
+            || self.loss(victim) > self.high_loss
                 && victim.remaining_s <= self.long_wait_s
     }
 
@@ -72,22 +86,37 @@
         } else if self.lets_finish(victim) {
             Some(victim.remaining_s * WAITING_COST)
         } else if victim.priority > self.priority {
-            Some(victim.lost)
+            self.may_stop(victim).then(|| self.loss(victim))
         } else if self.claim && !victim.claim {
             // Urgent work beyond a guarantee gives way only if nothing else
             // does.
-            Some(victim.lost + URGENT_VICTIM_COST)
+            Some(self.loss(victim) + URGENT_VICTIM_COST)
         } else {
             None
         }
     }
+
+    /// Returns whether a run of lower priority may be stopped. One that was
+    /// preempted often already ends before other work than claims gets its
+    /// capacity.
+    fn may_stop(&self, victim: &Victim) -> bool {
+        self.claim || victim.value.may_be_preempted()
+    }
+
+    /// Returns what is lost if a run is stopped.
+    fn loss(&self, victim: &Victim) -> f64 {
+        match self.pricing {
+            Pricing::Work => victim.lost,
+            Pricing::Value { delay_s } => victim.loss(delay_s),
+        }
+    }
 }
 
-/// The cost, in core-seconds, of a second of waiting for a run to end. It only
+/// The cost of a second of waiting for a run to end. It only
 /// has to order runs that end by themselves, which lose nothing.
 const WAITING_COST: f64 = 0.01;
 
-/// The cost, in core-seconds, that is added for a victim of priority 0.
+/// The cost that is added for a victim of priority 0.
 const URGENT_VICTIM_COST: f64 = 1e6;
 
 /// What the search for capacity of one group is based on.
--- a/crates/coordination/src/scheduler/victims.rs
+++ b/crates/coordination/src/scheduler/victims.rs
@@ -13,6 +13,7 @@
 
 use super::{
     Now, Scheduler,
+    cost::{VictimValue, weight},
     job::{Job, Run},
 };
 
@@ -50,6 +51,17 @@
     pub(super) claim: bool,
     /// Whether its stop was already requested.
     pub(super) stopping: bool,
+    /// The value that is lost with it; all zero without the feature
+    /// `delay_cost`.
+    pub(super) value: VictimValue,
+}
+
+impl Victim {
+    /// Returns the value that is lost if it is stopped, together with its
+    /// gang, and its next run is delayed.
+    pub(super) fn loss(&self, delay_s: f64) -> f64 {
+        self.value.work_loss(self.lost) + self.value.deadline_loss(delay_s)
+    }
 }
 
 /// All runs that may free capacity, as seen by one planning pass, by agent.
@@ -105,6 +117,11 @@
                         run_loss(now, &self.limits, step, run),
                     ),
                 };
+                let value = if self.features.delay_cost {
+                    victim_value(now, &self.limits, job, *task, remaining_s)
+                } else {
+                    VictimValue::default()
+                };
                 let victim = Victim {
                     task: *task,
                     gang,
@@ -114,6 +131,7 @@
                     priority: job.batch.priority,
                     claim: claims.contains(&job.batch.id),
                     stopping: run.stopping.is_some(),
+                    value,
                 };
                 by_agent.entry(run.agent.clone()).or_default().push(victim);
             }
@@ -122,11 +140,54 @@
     }
 }
 
-/// Returns the key of the gang that a task is a member of.
-fn gang_key(task: TaskId) -> GangKey {
+/// Returns the key of a task's step and occurrence, which is that of its gang
+/// if it is a member of one.
+pub(super) fn gang_key(task: TaskId) -> GangKey {
     (task.job, task.occurrence, task.step)
 }
 
+/// Returns the value that is lost with a run whose step is expected to end in
+/// `remaining_s` seconds.
+fn victim_value(
+    now: Now,
+    limits: &Limits,
+    job: &Job,
+    task: TaskId,
+    remaining_s: f64,
+) -> VictimValue {
+    let weight = weight(job.batch.priority);
+    let mut value = VictimValue {
+        weight,
+        preemptions: job.preemptions(task),
+        ..VictimValue::default()
+    };
+    let Some(step) = job.batch.step(task) else {
+        return value;
+    };
+    let due_ms = job.due_ms(task.occurrence);
+    let left = Duration::from_millis(due_ms.saturating_sub(now.wall_ms));
+    let left_s = left.saturating_sub(job.time_after_step(task.step));
+    let left_s = left_s.as_secs_f64();
+    if remaining_s > left_s {
+        return value;
+    }
+    let estimate = Duration::from_millis(step.estimate_ms);
+    let next_run_s = if step.checkpoints {
+        remaining_s + limits.checkpoint_restore.as_secs_f64()
+    } else {
+        estimate.as_secs_f64()
+    };
+    let open_tasks = job
+        .tasks_of(task.occurrence, task.step)
+        .filter(|t| !job.task(*t).is_some_and(|p| p.done))
+        .count();
+    let open_tasks = f64::from(u32::try_from(open_tasks).unwrap_or(u32::MAX));
+    value.margin_s = left_s - next_run_s;
+    value.deadline_value =
+        weight * open_tasks * estimate.as_secs_f64() * cores(&step.needs);
+    value
+}
+
 /// Returns the seconds until the last member of a gang is expected to end,
 /// and the core-seconds that are lost if the gang is stopped.
 fn gang_totals(
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod commits;
 mod coordinators;
+mod delay_cost;
 mod drains;
 mod ends;
 mod extreme_jobs;
--- a/crates/coordination/tests/fleet/random_faults.rs
+++ b/crates/coordination/tests/fleet/random_faults.rs
@@ -1,16 +1,29 @@
 //! Tests the model's invariants over series of random faults.
 
+use std::ops::Range;
+
 use figrill_state::batch::BatchId;
+use figrill_state::features::Features;
 
 use crate::assert_no_violations;
+use crate::delay_cost::delay_cost;
 use crate::sim::{Faults, Sim, gang, job};
 
-/// Injects random faults while jobs are submitted and run. The model must
-/// record no violation, and all jobs must end once the faults are over.
 #[test]
 fn invariants_hold_over_random_faults() {
-    for seed in 0..60 {
-        let mut sim = Sim::new(5, seed);
+    check_invariants(0..60, Features::default());
+}
+
+#[test]
+fn invariants_hold_over_random_faults_with_delay_cost() {
+    check_invariants(60..90, delay_cost());
+}
+
+/// Injects random faults while jobs are submitted and run. The model must
+/// record no violation, and all jobs must end once the faults are over.
+fn check_invariants(seeds: Range<u64>, features: Features) {
+    for seed in seeds {
+        let mut sim = Sim::with_features(5, seed, features);
         sim.faults = Faults {
             lost_answers: 100,
             late_starts: 60,
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -17,6 +17,8 @@
 use figrill_coordination::scheduler::{Commit, Now, Scheduler};
 use figrill_example::pool::{Node, Pool};
 use figrill_state::batch::{Batch, BatchId, Progress};
+use figrill_state::event::NewEvent;
+use figrill_state::features::Features;
 use figrill_state::limits::Limits;
 
 use agents::{Agent, upstream};
@@ -51,6 +53,8 @@
     pub pool: Pool,
     pub scheduler: Scheduler,
     pub faults: Faults,
+    /// The features that coordinators switch on.
+    features: Features,
     /// The fencing token of the current coordinator.
     pub token: u64,
     /// Whether the store accepts commits.
@@ -72,6 +76,8 @@
     pub start_orders: Vec<(u64, String)>,
     /// The details of the quarantines of workers.
     pub quarantines: Vec<String>,
+    /// The events of the scheduler, each with the time in milliseconds.
+    pub events: Vec<(u64, NewEvent)>,
     /// The records of jobs in the store, each with the revision at which it was
     /// written.
     batches: BTreeMap<BatchId, (Batch, u64)>,
@@ -95,6 +101,15 @@
 impl Sim {
     /// Returns a site with the given number of workers, three to a rack.
     pub fn new(workers: usize, seed: u64) -> Self {
+        Self::with_features(workers, seed, Features::default())
+    }
+
+    /// Returns a site whose coordinators switch features on.
+    pub fn with_features(
+        workers: usize,
+        seed: u64,
+        features: Features,
+    ) -> Self {
         let mut pool = Pool::default();
         let mut agents = BTreeMap::new();
         for i in 0..workers {
@@ -107,6 +122,7 @@
             pool,
             scheduler: Scheduler::new(1, Now::default(), Limits::default()),
             faults: Faults::default(),
+            features,
             token: 0,
             store_up: true,
             max_entries: 32,
@@ -116,6 +132,7 @@
             held_up_holds_ms: BTreeMap::new(),
             start_orders: Vec::new(),
             quarantines: Vec::new(),
+            events: Vec::new(),
             batches: BTreeMap::new(),
             revision: 1,
             progress: BTreeMap::new(),
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -57,10 +57,11 @@
             actions.clear();
         }
         for action in actions {
-            if let Action::RecordEvent(event) = &action
-                && event.code == Code::WorkerQuarantined
-            {
-                self.quarantines.push(event.detail.clone());
+            if let Action::RecordEvent(event) = &action {
+                if event.code == Code::WorkerQuarantined {
+                    self.quarantines.push(event.detail.clone());
+                }
+                self.events.push((self.now_ms, event.clone()));
             }
             if let Action::Send { agent, message } = action {
                 if let ToAgent::Start { upstream, start } = message {
--- a/crates/coordination/tests/fleet/sim/store.rs
+++ b/crates/coordination/tests/fleet/sim/store.rs
@@ -30,7 +30,8 @@
         self.in_flight
             .retain(|(_, _, message)| !is_for_coordinator(message));
         self.scheduler =
-            Scheduler::new(self.token, self.now(), Limits::default());
+            Scheduler::new(self.token, self.now(), Limits::default())
+                .with_features(self.features);
         self.scheduler.set_workspaces(workspaces());
         for (batch, revision) in self.batches.values() {
             match self.progress.get(&batch.id) {
