--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -31,6 +31,8 @@
 
 mod avoidance;
 mod commit;
+mod cost;
+mod delay_order;
 mod drains;
 mod ended_jobs;
 mod endings;
@@ -119,6 +121,7 @@
     speeds: speed::Speeds,
     learnt_speeds: speed::LearntSpeeds,
     health: health::Health,
+    delay_costs: cost::DelayCosts,
     pending_work: PendingWork,
     actions: Vec<Action>,
 }
@@ -158,6 +161,7 @@
             speeds: speed::Speeds::default(),
             learnt_speeds: speed::LearntSpeeds::default(),
             health: health::Health::default(),
+            delay_costs: cost::DelayCosts::default(),
             pending_work: PendingWork::default(),
             actions: Vec::new(),
         }
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -88,6 +88,8 @@
     /// The events about the health of workers: the time in milliseconds, the
     /// code and the details.
     pub health_events: Vec<(u64, Code, String)>,
+    /// The events of the scheduler, each with the time in milliseconds.
+    pub events: Vec<(u64, NewEvent)>,
     /// The records of jobs in the store, each with the revision at which it was
     /// written.
     batches: BTreeMap<BatchId, (Batch, u64)>,
@@ -131,8 +133,8 @@
             now_ms: 0,
             pool,
             scheduler: Scheduler::new(1, Now::default(), Limits::default()),
-            features,
             faults: Faults::default(),
+            features,
             token: 0,
             store_up: true,
             drains: DrainRequests::default(),
@@ -147,6 +149,7 @@
             quarantines: Vec::new(),
             drain_events: Vec::new(),
             health_events: Vec::new(),
+            events: Vec::new(),
             batches: BTreeMap::new(),
             revision: 1,
             progress: BTreeMap::new(),
