Save known outcomes before handing over the term

Cause: a coordinator that drained gave up the term while it still wrote the outcome of an answered job, so the record named the job as dispatched and the next coordinator could start it again. Change: the hand-over waits until no outcome is unsaved, for 3 s at most, since the store may be down.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -319,6 +319,15 @@
         })
     }
 
+    /// Returns whether an outcome is not in its job's record yet. The next
+    /// coordinator would take such a job to be running still.
+    #[must_use]
+    pub fn has_unsaved_outcomes(&self) -> bool {
+        self.jobs
+            .values()
+            .any(|state| matches!(state.phase, Phase::Saving { .. }))
+    }
+
     /// Returns the counts for operators.
     #[must_use]
     pub fn summary(&self) -> Summary {
--- a/crates/coordination/tests/leaving_agents.rs
+++ b/crates/coordination/tests/leaving_agents.rs
@@ -296,6 +296,29 @@
     assert!(fixture.coordinator.is_settled());
 }
 
+/// Guards against a hand-over before the outcome is in the record, after which
+/// the next coordinator takes an answered job to be running.
+#[test]
+fn a_coordinator_that_drains_saves_the_outcomes_that_it_knows() {
+    let mut fixture = Fixture::new();
+    let (run, i) = fixture.marking();
+    fixture.marked(run, 2);
+    for request in fixture.requests(i) {
+        fixture.deliver(i, request);
+    }
+    fixture.handle(coordinator::Input::Drain);
+    assert!(!fixture.coordinator.has_unsaved_outcomes());
+    let part = PartId { run, rank: 0 };
+    let event = PartEvent::Answered(b"1".to_vec());
+    fixture.agent(i, agent::Input::Part { part, event });
+    assert!(fixture.coordinator.has_unsaved_outcomes());
+    let saved = |ok| coordinator::Input::OutcomeSaved { job: JOB, ok };
+    fixture.handle(saved(false));
+    assert!(fixture.coordinator.has_unsaved_outcomes());
+    fixture.handle(saved(true));
+    assert!(!fixture.coordinator.has_unsaved_outcomes());
+}
+
 #[test]
 fn a_job_whose_record_names_a_given_up_attempt_is_placed_again() {
     let mut fixture = Fixture::new();
--- a/crates/node/src/entry/duty.rs
+++ b/crates/node/src/entry/duty.rs
@@ -57,6 +57,10 @@
 /// jobs.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(90);
 
+/// The maximum time for which a draining entry keeps the term only to save
+/// outcomes. It allows for two attempts to save each of them.
+const SAVE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// The state of the event loop.
 pub(super) struct EventLoop {
     boot: BootSettings,
@@ -489,10 +493,17 @@
     }
 
     /// Gives up the term for good, once the local coordinator has sent all
-    /// that it began.
+    /// that it began, and has saved the outcomes that it knows or failed to do
+    /// so in [`SAVE_TIMEOUT`].
     fn hand_over(&mut self) {
+        let now = self.now();
+        let save_expired = self
+            .draining
+            .is_some_and(|since| now >= since + SAVE_TIMEOUT);
         let done = self.coordinator.as_ref().is_none_or(|coordinator| {
-            coordinator.is_settled() && self.peers.net().is_flushed()
+            coordinator.is_settled()
+                && (save_expired || !coordinator.has_unsaved_outcomes())
+                && self.peers.net().is_flushed()
         });
         if done {
             self.handle_input(QueuedInput::Election(term::Input::Drain));
