Read the record again before an outcome is reported as lost

Cause: an entry could read a record just before the draining coordinator saved the outcome there. The next coordinator asked the lead, whose outcome was acknowledged by then, and the caller was told outcome_lost. Change: an entry that is told so reads the record once more, and answers with the outcome that it holds, if any. Measured: the new test passes, and fails with the guard removed (always finish).

--- a/crates/coordination/src/entry.rs
+++ b/crates/coordination/src/entry.rs
@@ -416,7 +416,7 @@
             JobReport::Ended { job, outcome } => {
                 let ack = JobRequest::Ack { job };
                 self.actions.push(Action::ToCoordinator(ack));
-                self.finish(now, job, &outcome);
+                self.ended(now, job, &outcome);
             }
             JobReport::Status {
                 job,
--- a/crates/coordination/src/entry/records.rs
+++ b/crates/coordination/src/entry/records.rs
@@ -96,6 +96,12 @@
         if tracked.outcome.is_some() {
             return;
         }
+        if tracked.outcome_lost {
+            let outcome = saved_outcome(result)
+                .unwrap_or(Outcome::Unknown(Kind::OutcomeLost));
+            self.finish(now, id, &outcome);
+            return;
+        }
         let (version, record) = match result {
             RecordRead::Found(version, record) => (version, *record),
             RecordRead::Missing
@@ -121,6 +127,28 @@
         self.follow_record(now, id, version, record);
     }
 
+    /// Handles the outcome that the coordinator reports. If that is that the
+    /// outcome is lost, the record, if there is one, is read again: the former
+    /// coordinator may have saved the outcome after this entry read it.
+    pub(super) fn ended(&mut self, now: Duration, id: JobId, end: &Outcome) {
+        let Some(tracked) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let is_lost = *end == Outcome::Unknown(Kind::OutcomeLost);
+        if !is_lost || tracked.durability == Durability::Memory {
+            self.finish(now, id, end);
+            return;
+        }
+        if tracked.outcome.is_some() || tracked.outcome_lost {
+            return;
+        }
+        tracked.outcome_lost = true;
+        tracked.wait = Wait::Record {
+            at: now + REREAD_DELAY * 4,
+        };
+        self.actions.push(Action::Read { job: id });
+    }
+
     /// Goes on with a job according to its record: returns the saved outcome,
     /// follows the recorded dispatch, or submits the job if this entry claimed
     /// it. A job that another entry claimed is taken over once that entry is
@@ -373,3 +401,14 @@
         }
     }
 }
+
+/// Returns the outcome that a record holds, if it was read and holds one.
+fn saved_outcome(read: RecordRead) -> Option<Outcome> {
+    let RecordRead::Found(_, record) = read else {
+        return None;
+    };
+    match record.progress {
+        Progress::Ended(saved) => Some(Outcome::from(saved)),
+        Progress::Claimed { .. } | Progress::Dispatched { .. } => None,
+    }
+}
--- a/crates/coordination/src/entry/track.rs
+++ b/crates/coordination/src/entry/track.rs
@@ -73,6 +73,9 @@
     /// Whether the coordinator was asked about the job without a record that
     /// names its dispatch.
     pub(super) coordinator_asked: bool,
+    /// Whether the coordinator has reported the outcome as lost, and the record
+    /// is being read in case it has the outcome.
+    pub(super) outcome_lost: bool,
     /// The number of bytes of the request or, once the job has ended, of the
     /// outcome.
     pub(super) bytes: usize,
@@ -102,6 +105,7 @@
             durability: Durability::Memory,
             confirmed: false,
             coordinator_asked: false,
+            outcome_lost: false,
             bytes: 0,
             outcome: None,
             ended_at: Duration::ZERO,
--- a/crates/coordination/tests/late_records.rs
+++ b/crates/coordination/tests/late_records.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use figrill_coordination::{
-    entry::{Action, CallId, Entry, Input, Submission},
+    entry::{Action, CallId, Entry, Input, RecordRead, Submission},
     message::JobReport,
 };
 use figrill_state::{
     error::Kind,
     job::{Adjacency, Class, Job, JobId, Outcome, Shape},
     ledger::ClaimOutcome,
+    record::{JobRecord, Progress, SavedOutcome},
 };
 
 const JOB: JobId = JobId(1);
@@ -61,3 +62,57 @@
     let actions = entry.handle(NOW, claimed);
     assert_eq!(actions, [Action::SaveOutcome { job: JOB, outcome }]);
 }
+
+/// Returns the record of the job, as far as it has come.
+fn record(progress: Progress) -> RecordRead {
+    let record = JobRecord {
+        workspace: "a".to_owned(),
+        request: String::new(),
+        progress,
+    };
+    RecordRead::Found(2, Box::new(record))
+}
+
+/// Guards against an answer that the outcome is lost although the former
+/// coordinator saved it after this entry had read the record.
+#[test]
+fn a_lost_outcome_is_looked_up_in_the_record() {
+    let dispatched = || Progress::Dispatched {
+        attempt: 1,
+        lead: "w0".to_owned(),
+        incarnation: 100,
+    };
+    let failed = Outcome::Failed(Kind::PartFailed, "any outcome".to_owned());
+    let lost = Outcome::Unknown(Kind::OutcomeLost);
+    let ended = Progress::Ended(SavedOutcome::from(&failed));
+    let cases = [
+        (record(ended), failed),
+        (record(dispatched()), lost.clone()),
+        (RecordRead::Unavailable, lost.clone()),
+        (RecordRead::Missing, lost.clone()),
+    ];
+    for (read_again, expected) in cases {
+        let mut entry = Entry::new(NOW, 1);
+        entry.handle(NOW, Input::Coordinator { known: true });
+        let poll = Input::Poll {
+            call: CallId(1),
+            job: JOB,
+            scope: None,
+            wait: Duration::from_secs(20),
+        };
+        entry.handle(NOW, poll);
+        let result = record(dispatched());
+        entry.handle(NOW, Input::Read { job: JOB, result });
+        let report = JobReport::Ended {
+            job: JOB,
+            outcome: lost.clone(),
+        };
+        let actions = entry.handle(NOW, Input::Report(report));
+        let read = Action::Read { job: JOB };
+        assert!(actions.contains(&read), "{actions:?}");
+        let result = read_again;
+        let actions = entry.handle(NOW, Input::Read { job: JOB, result });
+        let answer = format!("{actions:?}");
+        assert!(answer.contains(&format!("{expected:?}")), "{answer}");
+    }
+}
