Choose Retry-After by the length of the store's outages

Cause: a refused caller was told to return after 3 s in any outage, so a short one was overslept, and callers that were refused together returned together. Change: with retry_outlook on, an entry decides by how long the outage lasts, by the last 8 outages, the caller's time limit and the job's id (retry_after.rs, outages.rs). Four retries still cover 10 s. JobRefused names the inputs, with the feature on or off. Without it, the values are as before.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`message`] holds what they exchange. In the mode in which all scheduling
 //! state is kept in the platform's store, [`scheduler`], [`entries`],
 //! [`store_path`], [`orders`], [`registration`], [`fencing`] and [`campaign`]
-//! take their place. [`learn`] estimates run times for both, and [`adoption`]
+//! take their place, and [`retry_after`] says when refused callers return, by
+//! the [`outages`] of the store. [`learn`] estimates run times for both, and [`adoption`]
 //! tracks the revision of the settings that a process has in force.
 //!
 //! ```
@@ -29,7 +30,9 @@
 pub mod learn;
 pub mod message;
 pub mod orders;
+pub mod outages;
 pub mod registration;
+pub mod retry_after;
 pub mod scheduler;
 pub mod store_path;
 pub mod term;
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -11,7 +11,7 @@
 };
 
 use crossbeam::channel::Receiver;
-use figrill_coordination::entries::WriteResult;
+use figrill_coordination::{entries::WriteResult, retry_after::Refusal};
 use figrill_state::{
     batch::{Batch, BatchId},
     callers::{CallerCodec, Reply, Request, RequestKind},
@@ -23,6 +23,7 @@
 };
 use figrill_transport::http::{Answer, Call, Event};
 
+use self::refused::{RefusalPolicy, Refused};
 use super::{
     catalog::SharedCatalog,
     mesh::Mesh,
@@ -30,6 +31,8 @@
 };
 use crate::metrics::Journal;
 
+pub(super) mod refused;
+
 /// The time limit of a request that does not specify one.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -52,11 +55,6 @@
 /// was not carried out.
 const RETRY_AFTER_S: u32 = 1;
 
-/// The delay, in seconds, after which a caller is told to retry a submission
-/// while the store is unavailable. It is longer because callers retry only a
-/// few times, and outages last up to ten seconds.
-const OUTAGE_RETRY_AFTER_S: u32 = 3;
-
 type HttpCallerCodec = dyn CallerCodec<Call = Call, Answer = Answer>;
 
 /// Answers callers. Clones share all state.
@@ -72,6 +70,27 @@
     /// The streams to the other entries, and the writes that this one has
     /// sent.
     pub(super) mesh: Mesh,
+    /// Decides when refused callers are told to return.
+    pub(super) refusal_policy: RefusalPolicy,
+}
+
+/// The reply to a request.
+struct Replied {
+    reply: Reply,
+    /// The job that the request names, if any.
+    job: Option<BatchId>,
+    /// Why a submission was refused, if it was and may be repeated.
+    refused: Option<Refused>,
+}
+
+impl From<Reply> for Replied {
+    fn from(reply: Reply) -> Self {
+        Self {
+            reply,
+            job: None,
+            refused: None,
+        }
+    }
 }
 
 /// A [`Deadline`] by the clock of the process.
@@ -102,10 +121,11 @@
             self.in_flight.fetch_add(1, Ordering::Relaxed);
             let received_at = self.clock.now();
             let request = self.caller_codec.decode_request(&call);
-            let (reply, id) = self.reply(&request, &call.body, received_at);
+            let replied = self.reply(&request, &call.body, received_at);
             let elapsed = self.clock.now().saturating_sub(received_at);
-            self.record_reply(&request, &reply, id, elapsed);
-            call.responder.send(self.caller_codec.encode_reply(&reply));
+            self.record_reply(&request, &replied, elapsed);
+            let answer = self.caller_codec.encode_reply(&replied.reply);
+            call.responder.send(answer);
             self.in_flight.fetch_sub(1, Ordering::Relaxed);
         }
     }
@@ -114,10 +134,10 @@
     fn record_reply(
         &self,
         request: &Request,
-        reply: &Reply,
-        id: Option<BatchId>,
+        replied: &Replied,
         elapsed: Duration,
     ) {
+        let reply = &replied.reply;
         self.journal.metrics.count_call("caller", reply.name());
         self.journal.metrics.observe_time("caller", elapsed);
         let code = match reply {
@@ -127,42 +147,46 @@
             _ => Code::JobRefused,
         };
         let version = self.catalog.get().map_or(0, |c| c.version);
-        let detail = format!(
+        let mut detail = format!(
             "kind={:?} reply={reply:?} path={} version={version} took_ms={}",
             request.kind,
             request.path,
             elapsed.as_millis()
         );
-        let job = id.map(|id| JobId(u128::from(id.0)));
+        if let Some(refused) = &replied.refused {
+            detail = format!("{detail} {refused}");
+        }
+        let job = replied.job.map(|id| JobId(u128::from(id.0)));
         self.journal.record(&NewEvent { code, job, detail });
     }
 
-    /// Carries out a request. Returns the reply, and the job that the request
-    /// names, if any.
+    /// Carries out a request.
     fn reply(
         &self,
         request: &Request,
         body: &[u8],
         received_at: Duration,
-    ) -> (Reply, Option<BatchId>) {
-        let retry_after_s = RETRY_AFTER_S;
+    ) -> Replied {
         let Some(catalog) = self.catalog.get() else {
-            return (Reply::NotRun { retry_after_s }, None);
+            return self.refuse(Refusal::NoConfiguration, request, None);
         };
         let Some(queue) = catalog.queue(&request.host, &request.path) else {
-            return (Reply::NoSuchQueue, None);
+            return Reply::NoSuchQueue.into();
         };
         let key = request.key.as_deref();
         let workspace = key.and_then(|k| catalog.keys.get(k));
         if workspace.is_none() && !queue.public {
-            return (Reply::UnknownKey, None);
+            return Reply::UnknownKey.into();
         }
         let workspace = workspace.map(String::as_str).unwrap_or_default();
         let deadline = self.deadline(request, received_at);
         let id = self.caller_codec.parse_job_id(&request.path, &queue.prefix);
         let reply = match (request.kind, id) {
             (Some(RequestKind::Submit), Some(id)) => {
-                self.submit(queue, workspace, id, body, &deadline)
+                match self.submit(queue, workspace, id, body, &deadline) {
+                    Ok(reply) => reply,
+                    Err(why) => return self.refuse(why, request, Some(id)),
+                }
             }
             (Some(RequestKind::Read), Some(id)) => {
                 self.read_job(id, &deadline)
@@ -177,7 +201,34 @@
             }
             _ => Reply::Malformed("no such call".to_owned()),
         };
-        (reply, id)
+        Replied {
+            reply,
+            job: id,
+            refused: None,
+        }
+    }
+
+    /// Refuses a request that the caller may repeat later.
+    fn refuse(
+        &self,
+        refusal: Refusal,
+        request: &Request,
+        job: Option<BatchId>,
+    ) -> Replied {
+        let refused = self.refusal_policy.refuse(
+            refusal,
+            &self.catalog.outages(),
+            self.clock.now(),
+            request,
+            job,
+        );
+        Replied {
+            reply: Reply::NotRun {
+                retry_after_s: refused.retry_after_s,
+            },
+            job,
+            refused: Some(refused),
+        }
     }
 
     /// Returns when to answer a request at the latest.
@@ -194,8 +245,8 @@
         }
     }
 
-    /// Stores a job. If that fails, replies that the job does not run only if
-    /// no entry has a write of it that may still be applied.
+    /// Stores a job. If that fails, refuses the job only if no entry has a
+    /// write of it that may still be applied.
     fn submit(
         &self,
         queue: &Queue,
@@ -203,10 +254,10 @@
         id: BatchId,
         body: &[u8],
         deadline: &dyn Deadline,
-    ) -> Reply {
+    ) -> Result<Reply, Refusal> {
         let submission = match self.caller_codec.decode_submission(body) {
             Ok(submission) => submission,
-            Err(why) => return Reply::Malformed(why),
+            Err(why) => return Ok(Reply::Malformed(why)),
         };
         let batch = Batch {
             id,
@@ -224,26 +275,24 @@
             cancelled: false,
         };
         if let Some(why) = batch.validation_error() {
-            return Reply::Malformed(why);
+            return Ok(Reply::Malformed(why));
         }
         match self.write_job(&batch, deadline) {
             WriteOutcome::Applied => {
                 self.mesh.announce_job(&batch);
-                Reply::Accepted
+                Ok(Reply::Accepted)
             }
-            WriteOutcome::Existing => Reply::Accepted,
-            WriteOutcome::Rejected => Reply::Malformed(
+            WriteOutcome::Existing => Ok(Reply::Accepted),
+            WriteOutcome::Rejected => Ok(Reply::Malformed(
                 "the job is too large for the store; submit less at a time"
                     .to_owned(),
-            ),
+            )),
             WriteOutcome::NotApplied | WriteOutcome::NotFound
                 if !self.mesh.may_have_pending_write(id) =>
             {
-                Reply::NotRun {
-                    retry_after_s: self.store_retry_after_s(),
-                }
+                Err(self.refusal())
             }
-            _ => Reply::Unsettled,
+            _ => Ok(Reply::Unsettled),
         }
     }
 
@@ -272,13 +321,14 @@
             || self.mesh.can_write()
     }
 
-    /// Returns the delay, in seconds, after which a caller is told to submit
-    /// its job again.
-    fn store_retry_after_s(&self) -> u32 {
-        if self.store_available() {
-            RETRY_AFTER_S
+    /// Returns why a job that could not be stored is refused.
+    fn refusal(&self) -> Refusal {
+        if !self.store_available() {
+            Refusal::StoreUnavailable
+        } else if self.mesh.is_registered() {
+            Refusal::WriteFailed
         } else {
-            OUTAGE_RETRY_AFTER_S
+            Refusal::NotRegistered
         }
     }
 
--- a/crates/node/src/fleet/catalog.rs
+++ b/crates/node/src/fleet/catalog.rs
@@ -4,13 +4,14 @@
 
 use std::{
     sync::{
-        Arc, PoisonError, RwLock,
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{AtomicBool, Ordering},
     },
     thread,
     time::Duration,
 };
 
+use figrill_coordination::outages::Outages;
 use figrill_state::{
     catalog::Catalog,
     event::Code,
@@ -30,6 +31,7 @@
     catalog: RwLock<Option<Arc<Catalog>>>,
     /// Whether the last read of the catalogue succeeded.
     pub(super) last_read_succeeded: AtomicBool,
+    outages: Mutex<Outages>,
 }
 
 impl SharedCatalog {
@@ -38,6 +40,11 @@
         catalog.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the outages of the store, by the reads of the catalogue.
+    pub(super) fn outages(&self) -> MutexGuard<'_, Outages> {
+        self.outages.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adopts `catalog` if its version is higher than the one in force.
     /// Returns whether it was adopted.
     pub(super) fn adopt(&self, catalog: Catalog) -> bool {
@@ -61,7 +68,9 @@
     let mut failing = false;
     let mut refused_revision = 0;
     loop {
+        let sent_at = config.clock.now();
         let read = read(config, shared, journal, &mut refused_revision);
+        shared.outages().record(sent_at, read.is_ok());
         record_store_state(shared, journal, &read, &mut failing);
         let Ok(revision) = read else {
             thread::sleep(STORE_RETRY_DELAY);
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -14,7 +14,7 @@
 
 use super::{
     EntryConfig,
-    callers::CallerService,
+    callers::{CallerService, refused::RefusalPolicy},
     catalog::{self, SharedCatalog},
     lead::CoordinatorHandle,
     mesh::{self, Mesh, relay::RelayedKv},
@@ -104,6 +104,7 @@
             journal: journal.clone(),
             in_flight: in_flight.clone(),
             mesh: mesh.clone(),
+            refusal_policy: RefusalPolicy::new(settings.features),
         };
         for _ in 0..CALLER_THREADS {
             let (service, calls) = (service.clone(), calls.clone());
--- a/crates/standin/src/platform/client.rs
+++ b/crates/standin/src/platform/client.rs
@@ -19,6 +19,8 @@
     /// The body as JSON; null if there is none or it is not JSON. If the
     /// request failed, the reason as a string.
     pub body: Value,
+    /// The value of the `Retry-After` header in seconds, if there is one.
+    pub retry_after_s: Option<u32>,
     /// The time from sending the request to reading the whole answer.
     pub latency: Duration,
 }
@@ -72,8 +74,13 @@
                 .map_err(ureq::Error::from)
                 .and_then(|r| self.agent.run(r)),
         };
+        let mut retry_after_s = None;
         let (status, body) = match result {
             Ok(mut response) => {
+                let header = response.headers().get("retry-after");
+                retry_after_s = header
+                    .and_then(|v| v.to_str().ok())
+                    .and_then(|v| v.parse().ok());
                 let text = response.body_mut().read_to_string();
                 let body = serde_json::from_str(&text.unwrap_or_default());
                 (response.status().as_u16(), body.unwrap_or_default())
@@ -83,6 +90,7 @@
         Answer {
             status,
             body,
+            retry_after_s,
             latency: start.elapsed(),
         }
     }
--- a/crates/state/src/features.rs
+++ b/crates/state/src/features.rs
@@ -1,7 +1,8 @@
-//! Optional decisions of the scheduler, from the `[features]` section of the
+//! Optional decisions of the scheduler and the entries, from the `[features]` section of the
 //! settings file. A deployment that names none is served without them.
 
-/// The features that a deployment switches on.
+/// The features that a deployment switches on. Each is a switch of its own.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Features {
     /// Orders waiting work, and chooses the runs to preempt, by what a delay
@@ -13,6 +14,9 @@
     /// Withholds work from workers that fail what they start, and gives it
     /// back step by step.
     pub worker_health: bool,
+    /// Tells refused callers to return by how long the outage of the store has
+    /// lasted and by past outages.
+    pub retry_outlook: bool,
 }
 
 /// A key of the `[features]` section.
@@ -38,6 +42,11 @@
         help: "withhold work from workers that fail what they start",
         set: |f, on| f.worker_health = on,
     },
+    Key {
+        name: "retry_outlook",
+        help: "choose Retry-After by the length of the store's outages",
+        set: |f, on| f.retry_outlook = on,
+    },
 ];
 
 /// The section of the settings file that holds the features.
--- a/tests/platform_failures.rs
+++ b/tests/platform_failures.rs
@@ -4,7 +4,11 @@
 //! Accepted jobs must still be done, and no task may be started twice unless
 //! its run was lost.
 
-use std::{thread, time::Duration};
+use std::{
+    collections::BTreeSet,
+    fs, thread,
+    time::{Duration, Instant},
+};
 
 use figrill_standin::{
     platform::{client::job, store::Outage},
@@ -290,3 +294,51 @@
     assert!(answers[..=last].iter().all(|s| *s == 200), "{answers:?}");
     assert!(served > 50, "{served}");
 }
+
+/// Guards against a `Retry-After` that does not follow the outage, and against
+/// a refusal whose inputs are not in the log.
+#[test]
+fn refused_callers_return_by_the_length_of_the_outage() {
+    let mut site = start_site(1, 1);
+    let settings = site.dir.join("entry-0.ini");
+    let text = fs::read_to_string(&settings).expect("the settings are there");
+    fs::write(&settings, text + "\n[features]\nretry_outlook = on\n")
+        .expect("the settings can be written");
+    // An entry that was killed may have left a write that is applied later, so
+    // its next incarnation could not refuse anything for a while.
+    site.entries[0].process.terminate();
+    let code = site.entries[0].process.wait(Duration::from_secs(6));
+    assert_eq!(code, Some(0));
+    site.restart_entry(0).expect("the entry starts");
+    site.wait_until_serving();
+    site.entries[0].store_endpoint.faults().outage = Outage::Refusing;
+    let began = Instant::now();
+    let (mut delays, mut late_delays) = (BTreeSet::new(), BTreeSet::new());
+    for id in 1..=60_u64 {
+        let work = job(1, 1, 10, false);
+        let answer = site.client.submit(site.entry(0), id, &work);
+        assert_ne!(answer.status, 200);
+        delays.extend(answer.retry_after_s);
+        if began.elapsed() > Duration::from_secs(5) {
+            late_delays.extend(answer.retry_after_s);
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert!(delays.first().is_some_and(|d| *d < 3), "{delays:?}");
+    assert!(
+        late_delays.last().is_some_and(|d| *d > 3),
+        "{late_delays:?}"
+    );
+    site.entries[0].store_endpoint.faults().outage = Outage::None;
+    site.wait_until_serving();
+    let work = job(1, 1, 10, false);
+    assert_eq!(site.client.submit(site.entry(0), 99, &work).status, 200);
+    let log = fs::read_to_string(site.dir.join("entry-0.log"))
+        .expect("the log can be read");
+    let is_explained = |line: &&str| {
+        let words = ["JobRefused", "retry_after=", "outage_ms="];
+        words.iter().all(|word| line.contains(word))
+    };
+    assert!(log.lines().any(|line| is_explained(&line)));
+    site.assert_no_violations();
+}
