Record jobs that need more than any worker has offered

Cause: a job that no worker can run looks like one that waits for capacity. It must not be refused, since a larger worker may join. Change: with retry_outlook on, the coordinator records E2020 JobOversized once for such a job, from 5 s after its acceptance, by the largest amount of each resource that a worker of its service has offered. It looks once a second.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -37,6 +37,7 @@
 mod job;
 pub mod message;
 mod orphans;
+mod oversized;
 mod place;
 mod plan;
 mod reclaim;
@@ -111,6 +112,7 @@
     commit_state: commit::CommitState,
     run_times: RunTimeEstimator,
     speeds: speed::Speeds,
+    oversized: oversized::Oversized,
     pending_work: PendingWork,
     actions: Vec<Action>,
 }
@@ -147,6 +149,7 @@
             commit_state: commit::CommitState::default(),
             run_times: RunTimeEstimator::default(),
             speeds: speed::Speeds::default(),
+            oversized: oversized::Oversized::default(),
             pending_work: PendingWork::default(),
             actions: Vec::new(),
         }
@@ -319,6 +322,7 @@
             self.release_expired(now);
             self.check_runs(now);
             self.remove_ended_jobs(now);
+            self.report_oversized(now);
         }
         if check || self.pending_work.plan {
             self.pending_work.plan = false;
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -107,6 +107,7 @@
     WriteUnsettled 2013 Info "the store did not answer a write for a job, which may still take effect",
     JobStarted 2014 Debug "the first task of a job has started, so the job is no longer queued",
     RecordRejected 2015 Error "the store does not accept a record of a job; the job ends, and all others go on",
+    JobOversized 2020 Warn "a task of a job needs more than any worker of its service has offered, so the job may never run",
     GrantHeld 3001 Debug "an agent reserved capacity for a gang",
     GrantRefused 3002 Debug "an agent refused to reserve capacity",
     GrantReleased 3003 Debug "an agent released a reservation",
--- a/crates/state/src/features.rs
+++ b/crates/state/src/features.rs
@@ -15,7 +15,7 @@
     /// back step by step.
     pub worker_health: bool,
     /// Tells refused callers to return by how long the outage of the store has
-    /// lasted and by past outages.
+    /// lasted and by past outages, and records jobs that may never run.
     pub retry_outlook: bool,
 }
 
