--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -43,6 +43,7 @@
 mod job;
 pub mod message;
 mod orphans;
+mod oversized;
 mod pace;
 mod place;
 mod plan;
@@ -122,6 +123,7 @@
     learnt_speeds: speed::LearntSpeeds,
     health: health::Health,
     delay_costs: cost::DelayCosts,
+    oversized: oversized::Oversized,
     pending_work: PendingWork,
     actions: Vec<Action>,
 }
@@ -162,6 +164,7 @@
             learnt_speeds: speed::LearntSpeeds::default(),
             health: health::Health::default(),
             delay_costs: cost::DelayCosts::default(),
+            oversized: oversized::Oversized::default(),
             pending_work: PendingWork::default(),
             actions: Vec::new(),
         }
@@ -336,6 +339,7 @@
             self.update_health(now);
             self.remove_ended_jobs(now);
             self.check_drains(now);
+            self.report_oversized(now);
         }
         if check || self.pending_work.plan {
             self.pending_work.plan = false;
