--- a/crates/coordination/tests/fleet/worker_health.rs
+++ b/crates/coordination/tests/fleet/worker_health.rs
@@ -13,6 +13,7 @@
     delay_cost: false,
     worker_speeds: false,
     worker_health: true,
+    retry_outlook: false,
 };
 
 fn set_fails_starts(sim: &mut Sim, agents: &[&str], fails: bool) {
