Let the soak drain failure domains

Cause: drains were tested with two faults only.

Change: a profile `drains` with one to three drains of a failure domain, some shorter than a second, beside as many basic faults; `all` has it too. A check finds starts in a failure domain later than the limit after the request.

--- a/crates/standin/src/platform/site.rs
+++ b/crates/standin/src/platform/site.rs
@@ -5,7 +5,10 @@
     fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
-    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -33,6 +36,9 @@
 /// of the other entries have the next ids.
 const FIRST_JOB_ID: u64 = 0xFFFF;
 
+/// The prefix of the keys by which operators drain failure domains.
+const DRAIN_PREFIX: &str = "op/evacuate/";
+
 /// The API key of workspace `a`.
 pub const API_KEY: &str = "key-of-a";
 
@@ -69,6 +75,18 @@
     pub domain_drain: Option<Duration>,
 }
 
+/// The time for which the drain of a failure domain was requested, in
+/// milliseconds of the model.
+#[derive(Clone, Debug)]
+pub struct DrainPeriod {
+    /// The failure domain.
+    pub domain: String,
+    /// When the store had the request.
+    pub requested_ms: u64,
+    /// When the request was about to be deleted, if it was.
+    pub ended_ms: Option<u64>,
+}
+
 /// A running site. Its processes are killed when it is dropped.
 pub struct Site {
     /// The entries, in the order of their names.
@@ -85,9 +103,16 @@
     pub dir: PathBuf,
     program: PathBuf,
     plan: SitePlan,
+    drain_periods: Mutex<Vec<DrainPeriod>>,
     keep_logs: AtomicBool,
 }
 
+/// Returns the failure domain of the `i`th worker.
+#[must_use]
+pub fn failure_domain(i: usize) -> String {
+    format!("domain-{}", i % 2)
+}
+
 /// Returns the operators' configuration in the platform's format, with `keys`
 /// as the API keys of workspace `a`.
 #[must_use]
@@ -157,6 +182,7 @@
             dir,
             program: program.to_owned(),
             plan,
+            drain_periods: Mutex::default(),
             keep_logs: AtomicBool::new(false),
         };
         site.configure(&configuration(1, &[API_KEY]));
@@ -167,7 +193,7 @@
         for i in 0..plan.agents {
             let member = site.start_member("agent", i)?;
             let place = Place {
-                failure_domain: format!("domain-{}", i % 2),
+                failure_domain: failure_domain(i),
                 rack: format!("rack-{}", i / 3),
             };
             site.workers.add_at(&member.name, &place, member.address)?;
@@ -191,19 +217,46 @@
 
     /// Requests the drain of a failure domain, as an operator does.
     pub fn request_drain(&self, domain: &str) {
-        let key = format!("op/evacuate/{domain}");
+        let key = format!("{DRAIN_PREFIX}{domain}");
         let mut txn = TxnBuilder::with_reserved(0);
         let _ = txn.put(&key, b"requested".to_vec());
         let _ = self.kv.commit(&txn.build(), Duration::ZERO);
+        let mut periods = self.lock_drain_periods();
+        let is_open =
+            |p: &DrainPeriod| p.domain == domain && p.ended_ms.is_none();
+        if !periods.iter().any(is_open) {
+            periods.push(DrainPeriod {
+                domain: domain.to_owned(),
+                requested_ms: self.workers.now_ms(),
+                ended_ms: None,
+            });
+        }
     }
 
     /// Ends the drain of a failure domain.
     pub fn end_drain(&self, domain: &str) {
+        for period in self.lock_drain_periods().iter_mut() {
+            if period.domain == domain {
+                let now_ms = self.workers.now_ms();
+                period.ended_ms = period.ended_ms.or(Some(now_ms));
+            }
+        }
         let mut txn = TxnBuilder::with_reserved(0);
-        let _ = txn.remove([format!("op/evacuate/{domain}")]);
+        let _ = txn.remove([format!("{DRAIN_PREFIX}{domain}")]);
         let _ = self.kv.commit(&txn.build(), Duration::ZERO);
     }
 
+    /// Returns the drains so far, in the order of their requests.
+    #[must_use]
+    pub fn drain_periods(&self) -> Vec<DrainPeriod> {
+        self.lock_drain_periods().clone()
+    }
+
+    fn lock_drain_periods(&self) -> MutexGuard<'_, Vec<DrainPeriod>> {
+        let periods = self.drain_periods.lock();
+        periods.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn start_member(&self, role: &str, i: usize) -> io::Result<Member> {
         let name = format!("{role}-{i}");
         let store_endpoint = store::open(&self.kv)?;
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -13,7 +13,10 @@
     workers::AcknowledgedDrain,
 };
 
-use crate::callers::{CallerState, Observation};
+use crate::{
+    callers::{CallerState, Observation},
+    plan::DOMAIN_DRAIN_LIMIT,
+};
 
 /// The maximum time until each entry serves jobs again.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(15);
@@ -172,6 +175,31 @@
     }
 }
 
+/// Returns the starts in failure domains that were drained for longer than the
+/// limit until nothing starts there.
+pub fn late_starts_in_drained_domains(site: &Site) -> Vec<String> {
+    let limit_ms = DOMAIN_DRAIN_LIMIT.as_millis();
+    let limit_ms = u64::try_from(limit_ms).unwrap_or(u64::MAX);
+    let periods = site.drain_periods();
+    let pool = site.workers.pool();
+    let domain_of = |line: &str| {
+        let agent = line.rsplit(' ').next()?;
+        Some(&pool.nodes.get(agent)?.upstream.failure_domain)
+    };
+    let starts = pool.trace.iter().filter(|l| l.contains(" start "));
+    starts
+        .filter_map(|line| {
+            let time_ms = time_of(line);
+            let period = periods.iter().find(|p| {
+                domain_of(line) == Some(&p.domain)
+                    && time_ms > p.requested_ms + limit_ms
+                    && p.ended_ms.is_none_or(|end| time_ms < end)
+            })?;
+            Some(format!("a task was started in a drain: {line} {period:?}"))
+        })
+        .collect()
+}
+
 /// Returns the time of a line of the trace, in milliseconds.
 fn time_of(line: &str) -> u64 {
     let time = line.split(' ').next().and_then(|w| w.parse().ok());
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -7,7 +7,7 @@
 
 use figrill_standin::{
     platform::{
-        site::{Member, Site},
+        site::{Member, Site, failure_domain},
         store::Outage,
         workers::Successor,
     },
@@ -66,6 +66,9 @@
     if let FaultKind::StrayRecords(seed) = fault.kind {
         writer::write_records(&site.kv, seed);
     }
+    if let FaultKind::DomainDrain(i) = fault.kind {
+        site.request_drain(&failure_domain(i));
+    }
     for target in &fault.targets {
         if let FaultKind::StrayReports(seed) = fault.kind
             && let Target::Agent(i) = *target
@@ -168,7 +171,9 @@
                 }
             }
         }
-        FaultKind::StrayReports(_) | FaultKind::StrayRecords(_) => {}
+        FaultKind::StrayReports(_)
+        | FaultKind::StrayRecords(_)
+        | FaultKind::DomainDrain(_) => {}
     }
     Ok(())
 }
@@ -190,6 +195,9 @@
     {
         writer::remove_records(&site.kv, seed);
     }
+    if let FaultKind::DomainDrain(i) = fault.kind {
+        site.end_drain(&failure_domain(i));
+    }
     for target in &fault.targets {
         end_one(site, fault, *target)?;
     }
@@ -235,7 +243,8 @@
         | FaultKind::CloseConnections
         | FaultKind::UpstreamRestart
         | FaultKind::StrayReports(_)
-        | FaultKind::StrayRecords(_) => {}
+        | FaultKind::StrayRecords(_)
+        | FaultKind::DomainDrain(_) => {}
     }
     Ok(())
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -43,7 +43,8 @@
   --faults F       basic, writer (of status reports and records that are not
                    the site's), signals (in series that overlap), restarts
                    (of upstreams under their old ids, with calls that reach
-                   the next incarnation), or all [default: basic]
+                   the next incarnation), drains (of failure domains, beside
+                   basic faults), or all [default: basic]
   --regressions    first run the seeds that have failed before, each with its
                    own faults
   --processes P    processes of a site [default: 6 to 12, by the seed]
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -25,6 +25,10 @@
 /// What the seeds of the other kinds of faults differ in from that of the
 /// basic ones, so that the basic ones of a seed stay the same.
 const WRITER_SEED: u64 = 0x7772_6974_6572;
+const DRAIN_SEED: u64 = 0x6472_6169_6e73;
+
+/// The maximum number of drains of a failure domain in a round.
+const MAX_DRAINS: usize = 3;
 
 /// Which kinds of faults a round has.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -37,6 +41,8 @@
     Signals,
     /// restarts
     Restarts,
+    /// drains
+    Drains,
     /// all
     All,
 }
@@ -50,6 +56,7 @@
             Self::Writer,
             Self::Signals,
             Self::Restarts,
+            Self::Drains,
             Self::All,
         ];
         all.into_iter().find(|p| p.to_string() == name)
@@ -129,6 +136,8 @@
     /// The store gets invalid records of another writer. They are left there
     /// if the seed is odd.
     StrayRecords(u64),
+    /// An operator drains the failure domain with this index.
+    DomainDrain(usize),
 }
 
 /// The faults that may affect entries.
@@ -242,6 +251,16 @@
             plan.faults.extend(restarts.disturbances);
             plan.faults.sort_by_key(|fault| fault.at);
         }
+        if profile.includes(Profile::Drains) {
+            let rng = &mut StdRng::seed_from_u64(seed ^ DRAIN_SEED);
+            let count = rng.random_range(1..=MAX_DRAINS);
+            plan.faults.extend((0..count).map(|_| domain_drain(rng)));
+            plan.faults.extend((0..count).map(|_| {
+                let end = u64::try_from(FAULT_PHASE.as_millis()).unwrap_or(0);
+                random_fault(rng, plan.entries, plan.agents, end)
+            }));
+            plan.faults.sort_by_key(|fault| fault.at);
+        }
         plan
     }
 
@@ -334,6 +353,22 @@
     (0..count).map(move |i| (first + i) % total)
 }
 
+/// Returns a drain of a failure domain. Most last longer than the limit until
+/// nothing starts there, and some less than a second.
+fn domain_drain(rng: &mut StdRng) -> Fault {
+    let duration = if rng.random_bool(0.7) {
+        random_time(rng, 5500, 9000)
+    } else {
+        random_time(rng, 100, 1000)
+    };
+    Fault {
+        at: random_time(rng, 0, 2000),
+        duration,
+        kind: FaultKind::DomainDrain(rng.random_range(0..2)),
+        targets: Vec::new(),
+    }
+}
+
 fn writer_fault(rng: &mut StdRng, agents: usize) -> Fault {
     let seed = rng.random();
     let kind = if rng.random_bool(0.75) {
--- a/soak/src/round.rs
+++ b/soak/src/round.rs
@@ -100,6 +100,7 @@
     checks::check_entries_serve(&site, &mut violations);
     checks::check_jobs_end(&site, &callers);
     checks::check_upstreams(&site, &callers);
+    violations.extend(checks::late_starts_in_drained_domains(&site));
     let stray = plan.faults.iter().filter_map(|fault| match fault.kind {
         FaultKind::StrayRecords(seed) => Some(writer::record_jobs(seed)),
         _ => None,
