Drain failure domains by a key of the settings

Cause: the product's own interface has no counterpart to the operators' keys of the platform.

Change: `drained_domains` under [defaults] lists failure domains on whose workers the coordinator starts nothing. Attempts there that wait for capacity to be reclaimed or held are released as a whole; one whose record is being marked is released afterwards. `figrill status` shows the list. A doc comment in cell.rs that was torn in two is whole again, and renew_claim moves to bands.rs.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -16,6 +16,7 @@
 };
 
 use figrill_state::{
+    drain::Drains,
     error::Kind,
     event::{Code, NewEvent},
     job::{Attempt, JobId, Outcome},
@@ -29,6 +30,7 @@
 mod bands;
 pub mod cell;
 mod choose;
+mod drains;
 mod endings;
 pub mod guarantee;
 pub mod health;
@@ -211,6 +213,8 @@
     tree: Arc<Tree>,
     /// The percentage of all accelerators that long work may use in any case.
     long_share: u32,
+    /// The failure domains on whose workers nothing more is started.
+    drains: Drains,
     cell: Cell,
     /// The workers whose agents are connected and have sent a full report.
     connected: BTreeSet<String>,
@@ -252,6 +256,7 @@
             attempt_count: 0,
             now,
             long_share: 100,
+            drains: Drains::default(),
             guarantees: Guarantees::default(),
             tree: Arc::default(),
             cell: Cell::default(),
@@ -374,6 +379,7 @@
             Guarantees::new(&tree)
         });
         self.long_share = tree.long_share();
+        self.set_drains(tree.drained_domains());
         self.tree = tree;
         // Runs that have a claim on their workspace's guarantee claim it again
         // under the new settings. If these guarantee less, the runs for which
@@ -390,17 +396,6 @@
         self.pass_needed = true;
     }
 
-    /// Claims a share of its workspace's guarantee for a run, if there is
-    /// enough.
-    fn renew_claim(&mut self, run: Run) {
-        let Some(state) = self.jobs.get(&run.job) else {
-            return;
-        };
-        if let Some(claim) = self.find_claim(state) {
-            self.guarantees.claim(run, claim);
-        }
-    }
-
     fn estimate(&self, state: &JobState) -> Estimate {
         let declared = state.job.as_ref().and_then(|j| j.declared);
         self.run_times.estimate(state.work_kind, declared)
--- a/crates/coordination/src/coordinator/attempts.rs
+++ b/crates/coordination/src/coordinator/attempts.rs
@@ -129,19 +129,8 @@
     /// Requests the stop of a borrower, which may take up to `window` to write
     /// its checkpoints. One that has not started is requeued at once.
     fn stop_borrower(&mut self, now: Duration, job: JobId, window: Duration) {
-        let Some(state) = self.jobs.get(&job) else {
-            return;
-        };
-        match state.phase.clone() {
-            Phase::Holding { allocation, .. } => {
-                self.release_holds(&allocation);
-                self.requeue(now, job, PLACE_RETRY_BACKOFF);
-            }
-            Phase::Reclaiming { allocation, .. } => {
-                self.deallocate(&allocation);
-                self.requeue(now, job, PLACE_RETRY_BACKOFF);
-            }
-            _ => self.end_attempt(now, job, Kind::Reclaimed, window),
+        if !self.release_unstarted(now, job) {
+            self.end_attempt(now, job, Kind::Reclaimed, window);
         }
     }
 
@@ -285,6 +274,7 @@
             self.cell.node(&member.worker).is_some_and(|node| {
                 let share = node.runs().get(&allocation.run);
                 node.usable
+                    && !self.is_drained(node)
                     && node.incarnation == member.incarnation
                     && share.is_some_and(|s| node.capacity.fits(s.capacity))
             })
--- a/crates/coordination/src/coordinator/bands.rs
+++ b/crates/coordination/src/coordinator/bands.rs
@@ -18,6 +18,17 @@
 const MAX_PROMOTIONS: usize = 4;
 
 impl Coordinator {
+    /// Claims a share of its workspace's guarantee for a run, if there is
+    /// enough.
+    pub(super) fn renew_claim(&mut self, run: Run) {
+        let Some(state) = self.jobs.get(&run.job) else {
+            return;
+        };
+        if let Some(claim) = self.find_claim(state) {
+            self.guarantees.claim(run, claim);
+        }
+    }
+
     /// Moves borrowed work to the workspace's own guarantee or to unpromised
     /// capacity where that reduces no guarantee. It then need not be reclaimed
     /// later.
--- a/crates/coordination/src/coordinator/cell.rs
+++ b/crates/coordination/src/coordinator/cell.rs
@@ -256,7 +256,6 @@
         usable.map(|n| n.capacity.accelerators).sum()
     }
 
-    /// Returns the number of free accelerators on workers that may be given
     /// Returns the most free accelerators that are in one rack.
     pub(super) fn largest_free_rack(&self) -> u32 {
         let free = |i: &usize| {
@@ -270,6 +269,7 @@
             .unwrap_or(0)
     }
 
+    /// Returns the number of free accelerators on workers that may be given
     /// work.
     #[must_use]
     pub fn free_accelerators(&self) -> u32 {
--- a/crates/coordination/src/coordinator/schedule.rs
+++ b/crates/coordination/src/coordinator/schedule.rs
@@ -277,13 +277,15 @@
         self.short_demand = short.max(decayed);
     }
 
-    /// Updates which workers may be given work: those that are connected and
-    /// not quarantined, or quarantined but due to be probed.
+    /// Updates which workers may be given work: those that are connected, not
+    /// in a drained failure domain, and not quarantined, or quarantined but
+    /// due to be probed.
     fn refresh_usable(&mut self, now: Duration) {
         for i in 0..self.cell.nodes().len() {
-            let name = &self.cell.nodes()[i].name;
-            let connected = self.connected.contains(name);
-            let usable = connected && self.health.admits(now, name);
+            let node = &self.cell.nodes()[i];
+            let usable = self.connected.contains(&node.name)
+                && self.health.admits(now, &node.name)
+                && !self.is_drained(node);
             self.cell.node_mut(i).usable = usable;
         }
     }
--- a/crates/core/commands/site.rs
+++ b/crates/core/commands/site.rs
@@ -31,6 +31,11 @@
     if body["draining"] == true {
         outln!("draining      accepts no new work");
     }
+    let domains = body["drained_domains"].as_array();
+    let domains: Vec<&str> = domains.into_iter().flatten().map(text).collect();
+    if !domains.is_empty() {
+        outln!("drained       {}", domains.join(", "));
+    }
     let cell = &body["cell"];
     if cell.is_null() {
         outln!("cell          not available here; query the coordinator");
--- a/crates/node/src/entry/answers.rs
+++ b/crates/node/src/entry/answers.rs
@@ -66,6 +66,9 @@
     pub(super) waiting_calls: usize,
     pub(super) agents: usize,
     pub(super) entries: usize,
+    /// The failure domains that the settings drain.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(super) drained_domains: Vec<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) cell: Option<CellBody>,
 }
--- a/crates/node/src/entry/duty/operator.rs
+++ b/crates/node/src/entry/duty/operator.rs
@@ -117,6 +117,12 @@
             waiting_calls: self.entry.waiting_calls(),
             agents,
             entries: self.peers.connected().count() - agents + 1,
+            drained_domains: self
+                .tree
+                .drained_domains()
+                .iter()
+                .map(str::to_owned)
+                .collect(),
             cell,
         }
     }
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -14,6 +14,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
+    drain::Drains,
     ini_file::{self, Entry, Problem, Problems, Section, nearest},
     job::Shape,
 };
@@ -155,6 +156,13 @@
         value::number(&self.lookup(&[ROOT.to_owned()], "long_share").0)
     }
 
+    /// Returns the failure domains on whose workers nothing more is started.
+    #[must_use]
+    pub fn drained_domains(&self) -> Drains {
+        let text = self.lookup(&[ROOT.to_owned()], "drained_domains").0;
+        value::names(&text).collect()
+    }
+
     /// Returns the policy of a service after inheritance; `None` if the
     /// workspace is not in the tree. A service without a section of its own
     /// has its workspace's policy.
--- a/crates/state/src/settings/schema.rs
+++ b/crates/state/src/settings/schema.rs
@@ -31,6 +31,8 @@
     OneOf(&'static [&'static str]),
     /// A name, which must not be empty.
     Name,
+    /// A list of names separated by commas, which may be empty.
+    Names,
 }
 
 impl ValueKind {
@@ -80,6 +82,7 @@
                 }
                 Ok(())
             }
+            Self::Names => Ok(()),
         }
     }
 }
@@ -170,6 +173,13 @@
         default: "75",
         help: "percentage of all accelerators that long jobs may occupy",
     },
+    Key {
+        name: "drained_domains",
+        kind: ValueKind::Names,
+        levels: &[Level::Root],
+        default: "",
+        help: "failure domains on whose workers nothing more is started, such as `domain-1, domain-2`",
+    },
 ];
 
 /// The keys of a section `[token/NAME]`.
--- a/crates/state/src/settings/value.rs
+++ b/crates/state/src/settings/value.rs
@@ -44,6 +44,12 @@
         .ok_or_else(|| "too long".to_owned())
 }
 
+/// Parses a list of names such as `domain-1, domain-2`.
+pub fn names(text: &str) -> impl Iterator<Item = &str> {
+    let items = text.split(',').map(str::trim);
+    items.filter(|item| !item.is_empty())
+}
+
 /// Parses a list of shapes such as `2x8 rack, 4x1`. Each shape gives the
 /// number of parts, the accelerators of each part and optionally the
 /// adjacency.
--- a/tests/domain_drains.rs
+++ b/tests/domain_drains.rs
@@ -1,16 +1,19 @@
-//! Tests of the drain of a failure domain on the users' platform.
+//! Tests of the drain of a failure domain, on the users' platform and on the
+//! product's own interface.
 
-use std::{thread, time::Duration};
+use std::{process::Command, thread, time::Duration};
 
 use figrill_standin::{
+    caller::echo_job,
     platform::{
         client::job,
         site::{Site, SitePlan},
     },
     process::wait_for,
+    site::OPERATOR_TOKEN,
 };
 
-use crate::util::figrill;
+use crate::util::{figrill, plan};
 
 /// The limit `domain_drain_ms` of the sites.
 const DRAIN_LIMIT: Duration = Duration::from_secs(5);
@@ -121,3 +124,59 @@
         site.assert_no_violations();
     }
 }
+
+/// Returns the part of the output of `figrill status` about drained failure
+/// domains.
+fn shown_drains(http: &str, token_file: &str) -> Option<String> {
+    let entry = format!("http://{http}");
+    let output = Command::new(figrill())
+        .args(["status", "--entry", &entry, "--token-file", token_file])
+        .output()
+        .expect("the command runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let line = text.lines().find(|l| l.starts_with("drained "))?;
+    Some(line["drained".len()..].trim().to_owned())
+}
+
+site_test!(
+    drained_domains_of_the_settings_get_no_work,
+    plan().agents(6).settings("[workspace/a]\n"),
+    |site| {
+        // The second three workers are on a rack of their own. Submissions
+        // are answered at once.
+        const DRAINED: &str = "[defaults]\ncall_wait = 0ms\n\
+            drained_domains = domain-1, domain-9\n[workspace/a]\n";
+        let entries = site.entry_addresses();
+        let token_file = site.dir.join("operator.token");
+        std::fs::write(&token_file, OPERATOR_TOKEN).expect("a file");
+        let token_file = token_file.display().to_string();
+        let starts_at = |i: usize| {
+            let starts = site.operator.get(&site.upstreams[i].http, "/starts");
+            starts.body.as_array().map_or(0, Vec::len)
+        };
+        let starts_there = || (3..6).map(starts_at).sum::<usize>();
+        assert_eq!(shown_drains(&entries[0], &token_file), None);
+        site.apply_settings(DRAINED);
+        assert_eq!(
+            shown_drains(&entries[0], &token_file).as_deref(),
+            Some("domain-1, domain-9")
+        );
+        // Each of the two jobs needs three workers.
+        let jobs: Vec<_> = (0..2)
+            .map(|_| {
+                let job = echo_job("a", 24, 4000, "x");
+                site.operator.submit(&entries[0], &job)
+            })
+            .collect();
+        wait_for("a start", WAIT_LIMIT, || (starts_at(0) > 0).then_some(()));
+        thread::sleep(Duration::from_secs(1));
+        assert_eq!(starts_there(), 0);
+        site.apply_settings("[workspace/a]\n");
+        for answer in jobs {
+            let answer = site.operator.follow(&entries, answer);
+            assert_eq!(answer.body["outcome"], "done", "{}", answer.text);
+        }
+        assert!(starts_there() > 0, "no start after the drain");
+        assert_eq!(shown_drains(&entries[0], &token_file), None);
+    }
+);
