--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -29,6 +29,15 @@
             limits: "claim_start_ms =\n",
             error: "",
         },
+        Case {
+            limits: "domain_drain_ms =\n",
+            error: "",
+        },
+        Case {
+            limits: "domain_drain_ms = 1500\n",
+            error: "x.ini:5: domain_drain_ms: write a number from 2500 to \
+                    600000",
+        },
         Case {
             limits: "claim_start = 2900\n",
             error: "x.ini:5: no key claim_start in [limits]; did you mean \
