Watch the requests to drain without relayed calls

Cause: an entry serves relayed calls with three threads, and a relayed watch blocks one for 0.4 s. An entry that the store refuses relays three watches already.

Change: the watch of the requests goes to the store directly. Reads every 700 ms are relayed as before. The test with real processes has a case of a coordinator that the store refuses.

--- a/crates/node/src/fleet/drains.rs
+++ b/crates/node/src/fleet/drains.rs
@@ -19,7 +19,7 @@
 use figrill_state::{
     drain::Drains,
     event::Code,
-    kv::{Item, KvError},
+    kv::{Item, Kv, KvError},
 };
 
 use super::{EntryConfig, STORE_RETRY_DELAY, STORE_TIMEOUT, serve};
@@ -50,13 +50,17 @@
 
 impl SharedDrains {
     /// Starts the threads that follow the requests, unless the deployment does
-    /// not follow them.
+    /// not follow them. Reads go through the store of `config`. Watches go
+    /// through `direct`, which makes no relayed calls: a relayed watch would
+    /// block one of the few threads of another entry that relay calls, and
+    /// only saves part of [`READ_INTERVAL`].
     ///
     /// # Errors
     ///
     /// Returns a [`StartError`] if a thread can't be started.
     pub(super) fn start(
         config: &EntryConfig,
+        direct: Arc<dyn Kv>,
         journal: &Journal,
     ) -> Result<Self, StartError> {
         let (wake, woken) = bounded(1);
@@ -75,8 +79,10 @@
             refused_keys: Vec::new(),
         };
         serve::spawn("drains", move || reader.run(&woken))?;
-        let (config, watched) = (config.clone(), shared.clone());
-        serve::spawn("drain-watch", move || watch(&config, &watched))?;
+        let (prefix, watched) = (config.drain_prefix, shared.clone());
+        serve::spawn("drain-watch", move || {
+            watch(&*direct, prefix, &watched);
+        })?;
         Ok(shared)
     }
 
@@ -162,7 +168,7 @@
 }
 
 /// Watches for changes and makes the reader read them. Never returns.
-fn watch(config: &EntryConfig, shared: &SharedDrains) {
+fn watch(kv: &dyn Kv, prefix: &str, shared: &SharedDrains) {
     let mut seen = 0;
     loop {
         let read = shared.revision.load(Ordering::Relaxed);
@@ -172,7 +178,7 @@
             continue;
         }
         let after = read.max(seen);
-        match config.kv.watch(config.drain_prefix, after, WATCH_WAIT) {
+        match kv.watch(prefix, after, WATCH_WAIT) {
             Ok(changes) => {
                 seen = changes.revision;
                 if !changes.changes.is_empty() {
@@ -180,9 +186,8 @@
                 }
             }
             Err(e) => {
-                let prefix = config.drain_prefix;
                 log::debug!("the watch of {prefix} failed: {e}");
-                thread::sleep(STORE_RETRY_DELAY);
+                thread::sleep(READ_INTERVAL);
             }
         }
     }
--- a/crates/node/src/fleet/entry.rs
+++ b/crates/node/src/fleet/entry.rs
@@ -92,8 +92,9 @@
             draining.clone(),
         )?;
         serve::metrics(&runtime, &settings.metrics, &journal)?;
+        let direct = config.kv.clone();
         let config = &EntryConfig {
-            kv: Arc::new(RelayedKv::new(config.kv.clone(), mesh.clone())),
+            kv: Arc::new(RelayedKv::new(direct.clone(), mesh.clone())),
             ..config.clone()
         };
         let in_flight = Arc::new(AtomicUsize::new(0));
@@ -115,7 +116,7 @@
         serve::spawn("catalog", move || {
             catalog::follow(&follow_config, &follow_catalog, &follow_journal);
         })?;
-        let drains = SharedDrains::start(config, &journal)?;
+        let drains = SharedDrains::start(config, direct, &journal)?;
         let coordinator = CoordinatorHandle::start(
             config,
             Operators {
--- a/tests/domain_drains.rs
+++ b/tests/domain_drains.rs
@@ -8,6 +8,7 @@
     platform::{
         client::job,
         site::{Site, SitePlan},
+        store::Outage,
     },
     process::wait_for,
     site::OPERATOR_TOKEN,
@@ -68,24 +69,33 @@
 }
 
 // Guards against starts in a drained failure domain by the coordinator, by the
-// next one, and by one whose watches of the store deliver nothing, and against
-// a drain that does not end.
+// next one, by one whose watches of the store deliver nothing, and by one that
+// the store refuses, and against a drain that does not end.
 #[test]
 fn nothing_starts_in_a_drained_failure_domain_after_the_limit() {
     struct Case {
         name: &'static str,
         refuses_watches: bool,
+        refuses_coordinator: bool,
         loses_coordinator: bool,
     }
     let cases = [
         Case {
             name: "watches are refused",
             refuses_watches: true,
+            refuses_coordinator: false,
+            loses_coordinator: false,
+        },
+        Case {
+            name: "the store refuses the coordinator",
+            refuses_watches: false,
+            refuses_coordinator: true,
             loses_coordinator: false,
         },
         Case {
             name: "the coordinator is lost",
             refuses_watches: false,
+            refuses_coordinator: false,
             loses_coordinator: true,
         },
     ];
@@ -98,9 +108,13 @@
         }
         let before = submit_jobs(&site, 0, 1);
         assert!(!starts_after(&site, 0).is_empty(), "{name}: no start");
+        let coordinator = site.coordinator().expect("there is a coordinator");
+        if case.refuses_coordinator {
+            let endpoint = &site.entries[coordinator].store_endpoint;
+            endpoint.faults().outage = Outage::Refusing;
+        }
         site.request_drain(DOMAIN);
         let requested_ms = site.workers.now_ms();
-        let coordinator = site.coordinator().expect("there is a coordinator");
         let entry = 1 - coordinator;
         if case.loses_coordinator {
             site.entries[coordinator].process.kill();
