Read the requests to drain every 700 ms from one sending to the next

Cause: the pause began after the answer, so that a store that answers in over 100 ms was read less often than every 800 ms.

Change: the pause counts from the sending of the read.

--- a/crates/node/src/fleet/drains.rs
+++ b/crates/node/src/fleet/drains.rs
@@ -25,7 +25,8 @@
 use super::{EntryConfig, STORE_RETRY_DELAY, STORE_TIMEOUT, serve};
 use crate::{config::StartError, metrics::Journal};
 
-/// The maximum time from one read to the next while the store answers.
+/// The time from the sending of one read to that of the next. It is longer only
+/// if the answer to a read takes longer.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 
 /// The maximum wait of a watch.
@@ -117,23 +118,26 @@
 }
 
 impl Reader {
-    /// Reads the requests at least every [`READ_INTERVAL`]. Never returns.
+    /// Reads the requests every [`READ_INTERVAL`], or earlier when it is woken.
+    /// Never returns.
     fn run(mut self, woken: &Receiver<()>) {
         loop {
-            let pause = match self.read() {
-                Ok(()) => READ_INTERVAL,
+            let sent_at = self.config.clock.now();
+            let next_at = match self.read(sent_at) {
+                Ok(()) => sent_at + READ_INTERVAL,
                 Err(e) => {
                     let prefix = self.config.drain_prefix;
                     log::debug!("failed to read {prefix}: {e}");
-                    STORE_RETRY_DELAY
+                    self.config.clock.now() + STORE_RETRY_DELAY
                 }
             };
+            let pause = next_at.saturating_sub(self.config.clock.now());
             let _ = woken.recv_timeout(pause);
         }
     }
 
-    fn read(&mut self) -> Result<(), KvError> {
-        let read_at = self.config.clock.now();
+    /// Reads the requests, in a read that is sent at `read_at`.
+    fn read(&mut self, read_at: Duration) -> Result<(), KvError> {
         let prefix = self.config.drain_prefix;
         let listing = self.config.kv.list(prefix, STORE_TIMEOUT)?;
         let drains = self.decode(&listing.items);
