--- a/crates/node/src/fleet/drains.rs
+++ b/crates/node/src/fleet/drains.rs
@@ -19,13 +19,14 @@
 use figrill_state::{
     drain::Drains,
     event::Code,
-    kv::{Item, KvError},
+    kv::{Item, Kv, KvError},
 };
 
 use super::{EntryConfig, STORE_RETRY_DELAY, STORE_TIMEOUT, serve};
 use crate::{config::StartError, metrics::Journal};
 
-/// The maximum time from one read to the next while the store answers.
+/// The time from the sending of one read to that of the next. It is longer only
+/// if the answer to a read takes longer.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
 
 /// The maximum wait of a watch.
@@ -50,13 +51,17 @@
 
 impl SharedDrains {
     /// Starts the threads that follow the requests, unless the deployment does
-    /// not follow them.
+    /// not follow them. Reads go through the store of `config`. Watches go
+    /// through `direct`, which makes no relayed calls: a relayed watch would
+    /// block one of the few threads of another entry that relay calls, and
+    /// only saves part of [`READ_INTERVAL`].
     ///
     /// # Errors
     ///
     /// Returns a [`StartError`] if a thread can't be started.
     pub(super) fn start(
         config: &EntryConfig,
+        direct: Arc<dyn Kv>,
         journal: &Journal,
     ) -> Result<Self, StartError> {
         let (wake, woken) = bounded(1);
@@ -75,8 +80,10 @@
             refused_keys: Vec::new(),
         };
         serve::spawn("drains", move || reader.run(&woken))?;
-        let (config, watched) = (config.clone(), shared.clone());
-        serve::spawn("drain-watch", move || watch(&config, &watched))?;
+        let (prefix, watched) = (config.drain_prefix, shared.clone());
+        serve::spawn("drain-watch", move || {
+            watch(&*direct, prefix, &watched);
+        })?;
         Ok(shared)
     }
 
@@ -111,23 +118,26 @@
 }
 
 impl Reader {
-    /// Reads the requests at least every [`READ_INTERVAL`]. Never returns.
+    /// Reads the requests every [`READ_INTERVAL`], or earlier when it is woken.
+    /// Never returns.
     fn run(mut self, woken: &Receiver<()>) {
         loop {
-            let pause = match self.read() {
-                Ok(()) => READ_INTERVAL,
+            let sent_at = self.config.clock.now();
+            let next_at = match self.read(sent_at) {
+                Ok(()) => sent_at + READ_INTERVAL,
                 Err(e) => {
                     let prefix = self.config.drain_prefix;
                     log::debug!("failed to read {prefix}: {e}");
-                    STORE_RETRY_DELAY
+                    self.config.clock.now() + STORE_RETRY_DELAY
                 }
             };
+            let pause = next_at.saturating_sub(self.config.clock.now());
             let _ = woken.recv_timeout(pause);
         }
     }
 
-    fn read(&mut self) -> Result<(), KvError> {
-        let read_at = self.config.clock.now();
+    /// Reads the requests, in a read that is sent at `read_at`.
+    fn read(&mut self, read_at: Duration) -> Result<(), KvError> {
         let prefix = self.config.drain_prefix;
         let listing = self.config.kv.list(prefix, STORE_TIMEOUT)?;
         let drains = self.decode(&listing.items);
@@ -162,7 +172,7 @@
 }
 
 /// Watches for changes and makes the reader read them. Never returns.
-fn watch(config: &EntryConfig, shared: &SharedDrains) {
+fn watch(kv: &dyn Kv, prefix: &str, shared: &SharedDrains) {
     let mut seen = 0;
     loop {
         let read = shared.revision.load(Ordering::Relaxed);
@@ -172,7 +182,7 @@
             continue;
         }
         let after = read.max(seen);
-        match config.kv.watch(config.drain_prefix, after, WATCH_WAIT) {
+        match kv.watch(prefix, after, WATCH_WAIT) {
             Ok(changes) => {
                 seen = changes.revision;
                 if !changes.changes.is_empty() {
@@ -180,9 +190,8 @@
                 }
             }
             Err(e) => {
-                let prefix = config.drain_prefix;
                 log::debug!("the watch of {prefix} failed: {e}");
-                thread::sleep(STORE_RETRY_DELAY);
+                thread::sleep(READ_INTERVAL);
             }
         }
     }
