Compute the value of a step's runs once per planning pass

Cause: with delay_cost, the open tasks of a step were counted for each of its runs. Change: they are counted once per step; a test covers that a gang is stopped whole and its loss counted once.

The tests of gangs and of the claims' wait limit failed once with their guards removed. Work that can wait is kept from preempting by two guards, the gain and the runs that are left to end; its test fails only once both are removed.

--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -408,12 +408,15 @@
     /// Returns the length of the longest chain of steps that follow a step,
     /// by their estimates.
     pub(super) fn time_after_step(&self, step: u32) -> Duration {
+        if step as usize + 1 >= self.batch.steps.len() {
+            return Duration::ZERO;
+        }
         let mut chain_ms: BTreeMap<u32, u64> = BTreeMap::from([(step, 0)]);
         let mut latest_ms = 0;
         for (index, spec) in (0..).zip(&self.batch.steps).skip(1) {
             let follows = spec.after.iter().filter_map(|s| chain_ms.get(s));
             if let Some(start_ms) = follows.max().copied() {
-                let end_ms = start_ms + spec.estimate_ms;
+                let end_ms = start_ms.saturating_add(spec.estimate_ms);
                 chain_ms.insert(index, end_ms);
                 latest_ms = latest_ms.max(end_ms);
             }
--- a/crates/coordination/src/scheduler/victims.rs
+++ b/crates/coordination/src/scheduler/victims.rs
@@ -103,6 +103,7 @@
         let mut by_agent: BTreeMap<String, Vec<Victim>> = BTreeMap::new();
         for job in self.jobs.values() {
             let mut gangs: BTreeMap<GangKey, (f64, f64)> = BTreeMap::new();
+            let mut steps: BTreeMap<GangKey, StepValue> = BTreeMap::new();
             for (task, run) in &job.runs {
                 let Some(step) = job.batch.step(*task) else {
                     continue;
@@ -118,7 +119,11 @@
                     ),
                 };
                 let value = if self.features.delay_cost {
-                    victim_value(now, &self.limits, job, *task, remaining_s)
+                    let key = gang_key(*task);
+                    let of_step = steps.entry(key).or_insert_with(|| {
+                        StepValue::new(now, job, step, key)
+                    });
+                    of_step.of_run(&self.limits, job, *task, remaining_s)
                 } else {
                     VictimValue::default()
                 };
@@ -146,46 +151,64 @@
     (task.job, task.occurrence, task.step)
 }
 
-/// Returns the value that is lost with a run whose step is expected to end in
-/// `remaining_s` seconds.
-fn victim_value(
-    now: Now,
-    limits: &Limits,
-    job: &Job,
-    task: TaskId,
-    remaining_s: f64,
-) -> VictimValue {
-    let weight = weight(job.batch.priority);
-    let mut value = VictimValue {
-        weight,
-        preemptions: job.preemptions(task),
-        ..VictimValue::default()
-    };
-    let Some(step) = job.batch.step(task) else {
-        return value;
-    };
-    let due_ms = job.due_ms(task.occurrence);
-    let left = Duration::from_millis(due_ms.saturating_sub(now.wall_ms));
-    let left_s = left.saturating_sub(job.time_after_step(task.step));
-    let left_s = left_s.as_secs_f64();
-    if remaining_s > left_s {
-        return value;
+/// What the value of the runs of one step has in common.
+#[derive(Clone, Copy, Debug)]
+struct StepValue {
+    /// The seconds until the step has to end to meet the deadline.
+    left_s: f64,
+    estimate_s: f64,
+    /// The value of the tasks that are not done.
+    open_value: f64,
+}
+
+impl StepValue {
+    fn new(
+        now: Now,
+        job: &Job,
+        step: &Step,
+        (_, occurrence, index): GangKey,
+    ) -> Self {
+        let due_ms = job.due_ms(occurrence).saturating_sub(now.wall_ms);
+        let left = Duration::from_millis(due_ms)
+            .saturating_sub(job.time_after_step(index));
+        let open_tasks = job
+            .tasks_of(occurrence, index)
+            .filter(|t| !job.task(*t).is_some_and(|p| p.done))
+            .count();
+        let open_tasks =
+            f64::from(u32::try_from(open_tasks).unwrap_or(u32::MAX));
+        let estimate_s = Duration::from_millis(step.estimate_ms).as_secs_f64();
+        let work = open_tasks * estimate_s * cores(&step.needs);
+        Self {
+            left_s: left.as_secs_f64(),
+            estimate_s,
+            open_value: weight(job.batch.priority) * work,
+        }
+    }
+
+    /// Returns the value that is lost with a run that is expected to end, with
+    /// its gang, in `remaining_s` seconds.
+    fn of_run(
+        &self,
+        limits: &Limits,
+        job: &Job,
+        task: TaskId,
+        remaining_s: f64,
+    ) -> VictimValue {
+        let checkpoints = job.batch.step(task).is_some_and(|s| s.checkpoints);
+        let next_run_s = if checkpoints {
+            remaining_s + limits.checkpoint_restore.as_secs_f64()
+        } else {
+            self.estimate_s
+        };
+        let is_in_time = remaining_s <= self.left_s;
+        VictimValue {
+            weight: weight(job.batch.priority),
+            preemptions: job.preemptions(task),
+            deadline_value: if is_in_time { self.open_value } else { 0.0 },
+            margin_s: self.left_s - next_run_s,
+        }
     }
-    let estimate = Duration::from_millis(step.estimate_ms);
-    let next_run_s = if step.checkpoints {
-        remaining_s + limits.checkpoint_restore.as_secs_f64()
-    } else {
-        estimate.as_secs_f64()
-    };
-    let open_tasks = job
-        .tasks_of(task.occurrence, task.step)
-        .filter(|t| !job.task(*t).is_some_and(|p| p.done))
-        .count();
-    let open_tasks = f64::from(u32::try_from(open_tasks).unwrap_or(u32::MAX));
-    value.margin_s = left_s - next_run_s;
-    value.deadline_value =
-        weight * open_tasks * estimate.as_secs_f64() * cores(&step.needs);
-    value
 }
 
 /// Returns the seconds until the last member of a gang is expected to end,
--- a/crates/coordination/tests/fleet/delay_cost.rs
+++ b/crates/coordination/tests/fleet/delay_cost.rs
@@ -267,6 +267,28 @@
     assert_eq!((preemptions_of(&sim, 1), preemptions_of(&sim, 2)), (0, 1));
 }
 
+// Guards against a gang that is stopped in part, and against a loss that
+// counts once for each of its members.
+#[test]
+fn a_gang_is_stopped_whole_and_lost_once() {
+    let mut sim = site(2);
+    let mut victim = gang(job(1, 2, 2, 8, 20_000));
+    victim.target = Duration::from_mins(10);
+    sim.submit(victim);
+    assert!(sim.run_until(1000, |s| count_events(s, "start") == 2));
+    sim.run(1000);
+    sim.submit(gang(job(2, 0, 2, 8, 500)));
+    assert!(sim.run_until(2700, |s| count_events(s, "start") == 4));
+    let stops = details(&sim, Code::ReclaimStarted);
+    assert_eq!(stops.len(), 1, "{stops:?}");
+    // Two members of 65 cores have worked for about a second.
+    let lost = stops[0].split("lost_core_s=").nth(1);
+    let lost = lost.and_then(|l| l.split(' ').next()?.parse::<f64>().ok());
+    let lost = lost.expect("the lost work");
+    assert!((130.0..200.0).contains(&lost), "{lost}");
+    assert_no_violations(&sim, "a gang");
+}
+
 // Guards against a run that is stopped again and again and never ends.
 #[test]
 fn a_victim_is_not_stopped_again_and_again() {
