Describe learnt speeds, and test what they leave out

Cause: operators could not see which speed a job demanded, nor was it tested that tasks away from their rack, lasting changes and unknown workers are handled. An estimate of months could overflow the demanded speed.

--- a/crates/coordination/src/scheduler/pace.rs
+++ b/crates/coordination/src/scheduler/pace.rs
@@ -128,10 +128,11 @@
         }
         let remaining_ms = path_ms(&job.batch.steps, group.first());
         let ratio = self.learnt_speeds.queue_ratio(&job.batch.queue);
-        let work = Duration::from_millis(remaining_ms)
-            .mul_f64(ratio * SLOWEST_TASK_FACTOR);
+        let work = Duration::from_millis(remaining_ms).as_secs_f64()
+            * ratio
+            * SLOWEST_TASK_FACTOR;
         let left = group.time_left(now).saturating_sub(START_LATENCY);
-        let required = (work.as_secs_f64() / left.as_secs_f64()).ln();
+        let required = (work / left.as_secs_f64()).ln();
         let spread = required + self.limits.spread_slowdown.ln();
         Some(SpeedDemand {
             urgent: group.priority == 0,
--- a/crates/coordination/src/scheduler/place/demand.rs
+++ b/crates/coordination/src/scheduler/place/demand.rs
@@ -27,6 +27,11 @@
         Self(class as i32)
     }
 
+    /// Returns the lowest speed of the band.
+    pub(in super::super) fn speed(self) -> f64 {
+        (f64::from(self.0) * BAND_WIDTH_LN).exp()
+    }
+
     /// Returns the band of a speed, given as a natural logarithm.
     pub(in super::super) fn of(ln: f64) -> Self {
         // The conversion saturates.
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -19,7 +19,7 @@
 use super::{
     Now, Scheduler,
     job::Job,
-    place::{Assignment, Candidate, PlacementRequest, scaled},
+    place::{Assignment, Candidate, PlacementRequest, SpeedDemand, scaled},
 };
 
 /// How long a group of tasks below priority 0 waits before capacity is freed
@@ -294,6 +294,7 @@
             assignment = assign(&request);
         }
         let needs = step.needs;
+        let demand = request.demand;
         let mut tasks = group.tasks.iter().copied();
         let mut placed = Vec::new();
         for (candidate, count) in assignment {
@@ -304,7 +305,7 @@
             }
         }
         let count = u32::try_from(placed.len()).unwrap_or(0);
-        self.record_placement(now, group, placed);
+        self.record_placement(now, group, demand, placed);
         count
     }
 
@@ -313,6 +314,7 @@
         &mut self,
         now: Now,
         group: &TaskGroup,
+        demand: Option<SpeedDemand>,
         placed: Vec<(TaskId, String)>,
     ) {
         if placed.is_empty() {
@@ -330,6 +332,10 @@
         let needs = job.batch.step(group.first()).map(|s| s.needs);
         let needs = needs.unwrap_or_default();
         let mut detail = String::new();
+        if let Some(demand) = demand {
+            let required = demand.required.speed();
+            let _ = write!(detail, " required_speed={required:.2}");
+        }
         for (task, agent) in placed {
             let Some(worker) = self.workers.get_mut(&agent) else {
                 continue;
--- a/crates/coordination/tests/fleet/learnt_speeds.rs
+++ b/crates/coordination/tests/fleet/learnt_speeds.rs
@@ -45,7 +45,7 @@
     batch
 }
 
-/// Returns the times, in milliseconds, of events of a worker.
+/// Returns the number of events of a worker.
 fn events(sim: &Sim, code: Code, agent: &str) -> usize {
     let of_agent = format!("agent={agent} ");
     let matches = |e: &&figrill_state::event::NewEvent| {
@@ -248,3 +248,75 @@
     sim.run(300);
     assert_eq!(agents_of_job(&sim, "0000000000000004"), ["agent-00"]);
 }
+
+/// Guards against a worker whose speed has changed for good, and that counts as
+/// slowed and is mistaken for as fast as before, by turns.
+#[test]
+fn a_lasting_change_is_learnt() {
+    let mut sim = learnt_site(&[160, 100, 100]);
+    let node = sim.pool.nodes.get_mut("agent-00");
+    node.expect("a node").speed_percent = 40;
+    for id in 2..12 {
+        sim.submit(job(id, 1, 12, 2, 4000));
+        sim.run(6000);
+    }
+    sim.worker_events.retain(|e| e.code == Code::WorkerSpeed);
+    let error = (logged_speed(&sim, "agent-00") / 0.4).ln().abs();
+    assert!(error < 0.3, "{:?}", sim.worker_events);
+}
+
+/// Guards against unknown workers that are preferred to known ones, and against
+/// ones that are never tried.
+#[test]
+fn unknown_workers_come_between_slow_and_normal_ones() {
+    let mut sim = new_site(&[60, 100, 100, 100]);
+    let mut batch = job(1, 1, 6, 4, 4000);
+    batch.steps[0].requires = Some("rack-0".to_owned());
+    sim.submit(batch);
+    assert!(sim.run_until(10_000, Sim::all_ended));
+    sim.run(500);
+    for id in 2..6 {
+        sim.submit(due_within(job(id, 0, 1, 8, 5000), 1.5));
+        sim.run(100);
+    }
+    let agents: Vec<String> = (2..6)
+        .flat_map(|id| agents_of_job(&sim, &format!("{id:016x}")))
+        .collect();
+    assert_eq!(agents[2..], ["agent-03", "agent-00"], "{agents:?}");
+}
+
+/// Guards against work that counts as longer than it is because other work of
+/// its queue was spread over racks or away from its data.
+#[test]
+fn tasks_on_other_racks_say_nothing_of_their_queue() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Batch),
+    }
+    let cases = [
+        Case {
+            name: "a gang over two racks",
+            change: |batch| batch.steps[0].same_rack = true,
+        },
+        Case {
+            name: "a gang away from its data",
+            change: |batch| {
+                batch.steps[0].data_rack = Some("rack-9".to_owned());
+            },
+        },
+    ];
+    for case in cases {
+        let mut sim = learnt_site(&[60, 100, 160, 100]);
+        for id in 2..8 {
+            let mut batch = gang(job(id, 1, 4, 8, 1000));
+            batch.payload.push_str(" ms=3000");
+            (case.change)(&mut batch);
+            sim.submit(batch);
+            assert!(sim.run_until(20_000, Sim::all_ended), "{}", case.name);
+        }
+        sim.submit(due_within(job(9, 1, 1, 8, 2000), 1.9));
+        sim.run(300);
+        let agents = agents_of_job(&sim, "0000000000000009");
+        assert_ne!(agents, ["agent-02"], "{}", case.name);
+    }
+}
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -94,7 +94,7 @@
     UpstreamFenced 1511 Info "an agent raised the fencing token of its upstream, which now refuses calls that were meant for a former incarnation",
     WorkerSpeed 1515 Debug "the learnt speed of a worker has moved",
     WorkerSlowed 1516 Info "the runs on a worker have suddenly become several times slower",
-    WorkerRestored 1517 Info "the runs on a worker are as fast as before it became slow",
+    WorkerRestored 1517 Info "a worker that had suddenly become slow no longer counts as such",
     JobAccepted 2001 Debug "an entry accepted a job",
     JobRefused 2002 Info "an entry or the coordinator refused a job; it was not run",
     JobQueued 2003 Debug "the coordinator queued a job",
