--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -23,7 +23,7 @@
     avoidance::{self, FailureHistory},
     cost::Demand,
     job::Job,
-    place::{Assignment, Candidate, PlacementRequest, scaled},
+    place::{Assignment, Candidate, PlacementRequest, SpeedDemand, scaled},
     victims::cores,
 };
 
@@ -335,6 +335,7 @@
             assignment = assign(&request);
         }
         let needs = step.needs;
+        let demand = request.demand;
         let mut tasks = group.tasks.iter().copied();
         let mut placed = Vec::new();
         for (candidate, count) in assignment {
@@ -347,7 +348,7 @@
             }
         }
         let count = u32::try_from(placed.len()).unwrap_or(0);
-        self.record_placement(now, group, placed);
+        self.record_placement(now, group, demand, placed);
         count
     }
 
@@ -356,6 +357,7 @@
         &mut self,
         now: Now,
         group: &TaskGroup,
+        demand: Option<SpeedDemand>,
         placed: Vec<(TaskId, String)>,
     ) {
         if placed.is_empty() {
@@ -374,6 +376,10 @@
         let needs = needs.unwrap_or_default();
         let mut detail = String::new();
         let mut probes = Vec::new();
+        if let Some(demand) = demand {
+            let required = demand.required.speed();
+            let _ = write!(detail, " required_speed={required:.2}");
+        }
         for (task, agent) in placed {
             let Some(worker) = self.workers.get_mut(&agent) else {
                 continue;
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -96,7 +96,7 @@
     SuspicionIgnored 1513 Warn "more than a third of the workers are suspect, so the cause is probably not the workers and suspicions are ignored",
     WorkerSpeed 1515 Debug "the learnt speed of a worker has moved",
     WorkerSlowed 1516 Info "the runs on a worker have suddenly become several times slower",
-    WorkerSpeedRestored 1517 Info "the runs on a worker are as fast as before it became slow",
+    WorkerSpeedRestored 1517 Info "a worker that had suddenly become slow no longer counts as such",
     DrainStarted 1601 Info "the coordinator starts nothing more on the workers of a failure domain, as an operator requested",
     DrainEnded 1602 Info "the coordinator starts work on the workers of a failure domain again",
     DrainRefused 1603 Warn "a request to drain a failure domain has no valid name and is ignored",
