Test the remaining rules of the health of workers

Cause: five guards of the health of workers had no test of their own.

Change: tests of the search for room on avoided workers, of gangs and last attempts as probes, of a job whose runs all fail late, of placements on a worker that becomes suspect before their start, and of long probes.

--- a/crates/coordination/tests/fleet/worker_health.rs
+++ b/crates/coordination/tests/fleet/worker_health.rs
@@ -1,5 +1,7 @@
 //! Tests of workers that fail the runs that they start.
 
+use std::time::Duration;
+
 use figrill_state::batch::{BatchId, BatchState};
 use figrill_state::event::Code;
 use figrill_state::features::Features;
@@ -132,27 +134,66 @@
     assert_no_violations(&sim, "probes");
 }
 
-// Guards against a worker that gets nothing for ever because only gangs and
+// Guards against a worker that gets nothing for ever because only gangs or
 // last attempts wait, which are no probes.
 #[test]
 fn a_suspect_worker_without_a_probe_recovers() {
+    let mut last_attempts = job(2, 1, 25, 1, 12_000);
+    last_attempts.attempts = 1;
+    // They have no slack, so they wait for no other worker.
+    last_attempts.stretch = 1.0;
+    last_attempts.target = Duration::ZERO;
+    // One accelerator of the other workers stays free for the gang.
+    let mut fewer = last_attempts.clone();
+    fewer.steps[0].count = 23;
+    let cases = [vec![last_attempts], vec![fewer, gang(job(3, 1, 2, 1, 500))]];
+    for (case, batches) in cases.into_iter().enumerate() {
+        let mut sim = site_with_suspect();
+        let suspect_ms = sim.now_ms;
+        sim.run(800);
+        for batch in batches {
+            sim.submit(batch);
+        }
+        let is_restored =
+            |s: &Sim| !details(s, Code::WorkerRestored).is_empty();
+        let restored = sim.run_until(12_000, is_restored);
+        assert!(restored, "{case}: {:?}", sim.health_events);
+        let took_ms = sim.now_ms - suspect_ms;
+        assert!((8900..9300).contains(&took_ms), "{case}: {took_ms} ms");
+        assert_eq!(details(&sim, Code::WorkerProbed), [""; 0], "{case}");
+        assert!(sim.run_until(20_000, Sim::all_ended), "{case}");
+    }
+}
+
+// Guards against a worker that gets no more than a probe for the whole
+// duration of a long task.
+#[test]
+fn a_long_probe_passes_before_its_end() {
     let mut sim = site_with_suspect();
-    let suspect_ms = sim.now_ms;
+    assert!(sim.run_until(3000, Sim::all_ended));
+    sim.submit(job(2, 1, 32, 1, 20_000));
+    let all_started =
+        |s: &Sim| agents_of_job(s, "0000000000000002").len() == 32;
+    assert!(sim.run_until(7000, all_started), "{:?}", sim.health_events);
+    assert_eq!(details(&sim, Code::WorkerProbed).len(), 1);
+}
+
+// Guards against a start on a worker that became suspect after the placement.
+#[test]
+fn a_placement_on_a_suspect_worker_is_withdrawn() {
+    let mut sim = Sim::with_features(4, 1, HEALTH);
+    sim.run(300);
+    set_fails_starts(&mut sim, &["agent-00"], true);
+    sim.submit(job(1, 1, 1, 1, 400));
+    assert!(sim.run_until(1000, |s| count_events(s, "start") == 1));
+    sim.store_up = false;
+    sim.submit(job(2, 1, 1, 1, 400));
+    sim.run(200);
+    sim.store_up = true;
     assert!(sim.run_until(5000, Sim::all_ended));
-    let mut last_attempt = job(2, 1, 25, 1, 12_000);
-    last_attempt.attempts = 1;
-    sim.submit(last_attempt);
-    sim.submit(gang(job(3, 1, 4, 2, 500)));
-    let is_restored = |s: &Sim| !details(s, Code::WorkerRestored).is_empty();
-    assert!(
-        sim.run_until(12_000, is_restored),
-        "{:?}",
-        sim.health_events
-    );
-    let took_ms = sim.now_ms - suspect_ms;
-    assert!((8900..9300).contains(&took_ms), "{took_ms} ms");
-    assert_eq!(details(&sim, Code::WorkerProbed), [""; 0]);
-    assert!(sim.run_until(20_000, Sim::all_ended));
+    let agents = agents_of_job(&sim, "0000000000000002");
+    assert_eq!(agents.len(), 1, "{:?}", sim.pool.trace);
+    assert_ne!(agents[0], "agent-00");
 }
 
 // Guards against a suspicion that outlives the process that it is about.
@@ -207,6 +248,23 @@
     assert_eq!(count_events(&sim, "stopped"), 1);
 }
 
+// Guards against capacity that is held back on the worker on which a claim has
+// failed, although the claim is not placed there.
+#[test]
+fn a_failed_claim_reserves_nothing_on_its_worker() {
+    let mut sim = Sim::with_features(2, 1, HEALTH);
+    sim.submit(job(1, 0, 1, 8, 20_000));
+    assert!(sim.run_until(1000, |s| count_events(s, "start") == 1));
+    let mut claim = job(2, 0, 1, 8, 400);
+    claim.workspace = "b".to_owned();
+    claim.payload.push_str(" fail");
+    sim.submit(claim);
+    sim.submit(job(3, 1, 1, 8, 20_000));
+    assert!(sim.run_until(1000, |s| count_events(s, "failed") == 1));
+    let is_used = |s: &Sim| agents_of_job(s, "0000000000000003").len() == 1;
+    assert!(sim.run_until(300, is_used), "{:?}", sim.pool.trace);
+}
+
 // Guards against a claim that misses the limit for its start because it waits
 // for another worker. Its task fails at the end of its work, so the worker is
 // not suspect.
@@ -304,6 +362,22 @@
     assert_eq!(details(&sim, Code::WorkerQuarantined), [""; 0]);
 }
 
+// Guards against workers that are suspect because one job is faulty: all of
+// its runs fail late, in a queue whose tasks hardly ever fail.
+#[test]
+fn a_job_that_fails_late_makes_no_worker_suspect() {
+    let mut sim = Sim::with_features(4, 1, HEALTH);
+    sim.submit(job(1, 1, 300, 1, 400));
+    assert!(sim.run_until(20_000, Sim::all_ended));
+    let mut faulty = job(2, 1, 32, 1, 800);
+    faulty.attempts = 6;
+    faulty.payload.push_str(" fail");
+    sim.submit(faulty);
+    assert!(sim.run_until(20_000, Sim::all_ended));
+    assert!(count_events(&sim, "failed") >= 32);
+    assert_eq!(details(&sim, Code::WorkerQuarantined), [""; 0]);
+}
+
 // Guards against a worker that spoils most runs in their course and stays in
 // use, as no failure is an early one.
 #[test]
