Check a configuration of the platform before it is written

Cause: entries adopt every configuration that they can decode, so a route that no request reaches, or a guarantee that nothing can meet, shows only in use. Change: figrill check FILE [--against FILE] [--accelerators N] reports entries without effect, limits that contradict each other and what differs from the version in force, as text or JSON.

--- a/crates/core/args.rs
+++ b/crates/core/args.rs
@@ -54,6 +54,13 @@
         settings: String,
         set: Vec<(String, String)>,
     },
+    /// Check a configuration of the users' platform.
+    Check {
+        file: String,
+        against: Option<String>,
+        accelerators: Option<u64>,
+        json: bool,
+    },
     /// Validate a settings file.
     SettingsCheck { file: String, json: bool },
     /// Show the settings, or the effective values at a path.
@@ -138,6 +145,12 @@
             settings: required(raw, "settings")?,
             set: raw.pairs("set").map_err(usage_error)?,
         },
+        ["check"] => Args::Check {
+            file: operand(),
+            against: owned("against"),
+            accelerators: accelerators(raw)?,
+            json,
+        },
         ["settings", "check"] => Args::SettingsCheck {
             file: operand(),
             json,
@@ -232,6 +245,15 @@
         })
 }
 
+fn accelerators(raw: &RawArgs) -> Result<Option<u64>, CommandError> {
+    let Some(text) = raw.value("accelerators") else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|_| {
+        usage_error(format!("--accelerators {text}: write a number"))
+    })
+}
+
 fn base(raw: &RawArgs) -> Result<Option<u64>, CommandError> {
     let Some(text) = raw.value("base") else {
         return Ok(None);
--- a/crates/core/commands.rs
+++ b/crates/core/commands.rs
@@ -7,6 +7,7 @@
     exit::{CommandError, Exit},
 };
 
+mod check;
 mod dev;
 mod job;
 mod platform;
@@ -30,6 +31,12 @@
         } => dev::run(&job, workers, json, &log_level),
         Args::Entry { settings, set } => role::entry(&settings, &set),
         Args::Agent { settings, set } => role::agent(&settings, &set),
+        Args::Check {
+            file,
+            against,
+            accelerators,
+            json,
+        } => check::run(&file, against.as_deref(), accelerators, json),
         Args::SettingsCheck { file, json } => settings::check(&file, json),
         Args::SettingsShow {
             effective,
--- a/crates/core/flags.rs
+++ b/crates/core/flags.rs
@@ -64,6 +64,13 @@
         help: "run the agent of a worker",
         example: "figrill agent --settings agent.ini",
     },
+    Command {
+        path: &["check"],
+        operands: &["FILE"],
+        flags: &["against", "accelerators", "json"],
+        help: "check a configuration of the users' platform",
+        example: "figrill check new.json --against current.json",
+    },
     Command {
         path: &["settings", "check"],
         operands: &["FILE"],
@@ -195,6 +202,16 @@
         value: "FILE",
         help: "file with the bearer token [default: $FIGRILL_TOKEN]",
     },
+    Flag {
+        name: "against",
+        value: "FILE",
+        help: "list what differs from the configuration in force",
+    },
+    Flag {
+        name: "accelerators",
+        value: "N",
+        help: "accelerators of all workers, which guarantees may not exceed",
+    },
     Flag {
         name: "base",
         value: "REVISION",
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -6,6 +6,7 @@
 mod util;
 
 mod callers;
+mod check;
 mod claims;
 mod command_line;
 mod disruption;
