--- a/crates/coordination/src/scheduler/delay_order.rs
+++ b/crates/coordination/src/scheduler/delay_order.rs
@@ -54,4 +54,16 @@
             || group.demand.lateness(now.wall_ms) == Lateness::InTime;
         group.claim || group.has_turn || group.priority == 0 && is_in_time()
     }
+
+    /// Returns the fields of a log line that explain the position of a group;
+    /// empty without the feature.
+    pub(super) fn order_detail(&self, now: Now, group: &TaskGroup) -> String {
+        if !self.features.delay_cost {
+            return String::new();
+        }
+        let lateness = group.demand.lateness(now.wall_ms);
+        let expected_ms = group.demand.expected.as_millis();
+        let turn = group.has_turn;
+        format!(" expected_ms={expected_ms} order={lateness:?} turn={turn}")
+    }
 }
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -367,8 +367,10 @@
             now.monotonic.saturating_sub(group.ready_at).as_millis();
         let due_in_ms = i128::from(group.due_ms) - i128::from(now.wall_ms);
         let claim = group.claim;
+        let order = self.order_detail(now, group);
         let detail = format!(
-            "waited_ms={waited_ms} due_in_ms={due_in_ms} claim={claim}{detail}"
+            "waited_ms={waited_ms} due_in_ms={due_in_ms} \
+             claim={claim}{order}{detail}"
         );
         self.dirty.insert(id);
         self.record_event(Code::JobPlaced, id, &detail);
