Test that turns of late work take a small share

Cause: the test of starvation would also pass if late work took all capacity. Change: it checks that turns are at least 9 s apart.

Measured: the test passes, and failed once with the debt of turns removed.

--- a/crates/coordination/tests/fleet/delay_cost.rs
+++ b/crates/coordination/tests/fleet/delay_cost.rs
@@ -154,9 +154,12 @@
 }
 
 // Guards against late work that never runs, because work that can end in time
-// waits all the time.
+// waits all the time, and against late work that then takes all capacity.
 #[test]
 fn late_work_of_each_priority_starts_in_a_long_overload() {
+    // Each turn takes two workers for a second, a tenth of what they do in
+    // this time and a little more.
+    const MIN_INTERVAL_MS: u64 = 9000;
     let mut sim = site(2);
     // Two thirds more work than the workers can do, and all of it in time.
     let mut id = 100;
@@ -182,10 +185,14 @@
     for _ in 0..100 {
         feed(&mut sim);
     }
+    let mut starts: Vec<u64> = Vec::new();
     for late in 1..=3 {
         let start = started_ms(&sim, late);
-        assert!(start.is_some(), "job {late} has not started");
+        starts.push(start.expect("the late job has started"));
     }
+    starts.sort_unstable();
+    let are_apart = starts.windows(2).all(|w| w[1] - w[0] > MIN_INTERVAL_MS);
+    assert!(are_apart, "{starts:?}");
     assert_no_violations(&sim, "a long overload");
 }
 
