Value jobs by the mean work of their queue

Cause: the cost model valued a core-second of each queue by the weight of its priority alone. Groups that were split by their failures counted the work of the whole group each.

Change: a job with the mean work of its queue has the weight of its priority as its value, others in proportion. A late group gains what is left of its value if it would have none after the wait. Only groups without any value left wait for a turn before capacity is freed for them.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -192,6 +192,7 @@
             return;
         }
         let mut job = Job::new(batch, progress);
+        job.value_rate = self.delay_costs.job_values.record(&job.batch);
         let mut adopted = Vec::new();
         for (occurrence, steps) in &job.progress.tasks {
             for (step, tasks) in steps.iter().enumerate() {
@@ -289,7 +290,8 @@
             now.wall_ms.saturating_sub(batch.accepted_ms),
         );
         self.record_event(Code::JobQueued, id, &detail);
-        let job = Job::new(batch, Progress::default());
+        let mut job = Job::new(batch, Progress::default());
+        job.value_rate = self.delay_costs.job_values.record(&job.batch);
         self.jobs.insert(id, job);
         self.queued_changed = true;
         self.pending_work.plan = true;
--- a/crates/coordination/src/scheduler/avoidance.rs
+++ b/crates/coordination/src/scheduler/avoidance.rs
@@ -167,6 +167,7 @@
         let history = history(now, job, &group.tasks);
         return vec![TaskGroup { history, ..group }];
     }
+    let work_per_task = group.demand.work / f64::from(group.count());
     if holds_siblings(now, job, group.first()) {
         group.tasks.retain(|t| is_decisive(job, *t));
     }
@@ -190,8 +191,15 @@
         part.history.failed_at = part.history.failed_at.max(history.failed_at);
     }
     group.tasks = others;
-    let parts = groups.into_values().chain([group]);
-    parts.filter(|g| !g.tasks.is_empty()).collect()
+    groups
+        .into_values()
+        .chain([group])
+        .filter(|part| !part.tasks.is_empty())
+        .map(|mut part| {
+            part.demand.work = work_per_task * f64::from(part.count());
+            part
+        })
+        .collect()
 }
 
 /// Returns whether a task of the same step is decisive and has neither ended
--- a/crates/coordination/src/scheduler/cost.rs
+++ b/crates/coordination/src/scheduler/cost.rs
@@ -13,13 +13,15 @@
 use figrill_state::batch::{BatchId, TaskId};
 
 use budget::Budget;
+use job_value::JobValues;
 use turns::Turns;
 
 pub(super) mod budget;
+pub(super) mod job_value;
 pub(super) mod turns;
 
-/// The values of a core-second of work at the highest priorities, relative to
-/// each other.
+/// The values of a job with the mean work of its queue at the highest
+/// priorities, relative to each other.
 const PRIORITY_WEIGHTS: [f64; 3] = [4.0, 3.0, 1.0];
 
 /// The factor by which the value falls with each priority below those of
@@ -47,8 +49,8 @@
 /// How often work is preempted for work other than claims.
 const MAX_PREEMPTIONS: u32 = 2;
 
-/// Returns the value of a core-second of work.
-pub(super) fn weight(priority: u32) -> f64 {
+/// Returns the value of a job with the mean work of its queue.
+fn weight(priority: u32) -> f64 {
     let last = PRIORITY_WEIGHTS.len() - 1;
     let index = usize::try_from(priority).unwrap_or(usize::MAX);
     if let Some(weight) = PRIORITY_WEIGHTS.get(index) {
@@ -77,6 +79,8 @@
     pub(super) claim: bool,
     /// The work of the tasks, in core-seconds.
     pub(super) work: f64,
+    /// The value of a core-second of it.
+    pub(super) value_rate: f64,
     /// The expected time from the start of the tasks to the end of their job.
     pub(super) expected: Duration,
     /// The beginning of the allowed time, in milliseconds since 1970.
@@ -126,7 +130,7 @@
             Lateness::Late => LATE_VALUE,
             Lateness::Hopeless => 0.0,
         };
-        weight(self.priority) * self.work * share
+        self.value_rate * self.work * share
     }
 
     /// Returns the time for which the tasks can certainly wait, as far as the
@@ -139,23 +143,23 @@
     }
 
     /// Returns the value that is gained by a start after `delay` instead of
-    /// one after `wait`. Work that cannot end in time gains nothing, nor does
-    /// work that has the time to wait.
+    /// one after `wait`. Work that is late after either gains nothing, nor
+    /// does work that has the time to wait.
     pub(super) fn gain(
         &self,
         now_ms: u64,
         delay: Duration,
         wait: Duration,
     ) -> f64 {
-        let end_ms = self.end_ms(now_ms, delay);
-        if self.lateness_at(end_ms) != Lateness::InTime
-            || wait <= self.spare_time(now_ms)
-        {
+        if wait <= self.spare_time(now_ms) {
             return 0.0;
         }
-        let late = self.lateness_at(self.end_ms(now_ms, wait));
-        self.value_if(Lateness::InTime)
-            - self.value_if(late.max(Lateness::Late))
+        let soon = self.lateness_at(self.end_ms(now_ms, delay));
+        let mut later = self.lateness_at(self.end_ms(now_ms, wait));
+        if soon == Lateness::InTime {
+            later = later.max(Lateness::Late);
+        }
+        self.value_if(soon) - self.value_if(later.max(soon))
     }
 
     /// Returns the position of a group among those that wait.
@@ -224,7 +228,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct VictimValue {
     /// The value of a core-second of its work.
-    pub(super) weight: f64,
+    pub(super) value_rate: f64,
     /// How often it has been preempted already.
     pub(super) preemptions: u32,
     /// The value that its job has left, if it still meets its deadline; zero
@@ -243,7 +247,7 @@
 
     /// Returns the value of the lost work, which is given in core-seconds.
     pub(super) fn work_loss(&self, lost: f64) -> f64 {
-        lost * self.weight * self.repetition_factor()
+        lost * self.value_rate * self.repetition_factor()
     }
 
     /// Returns the value that is lost by a missed deadline if its next run is
@@ -299,7 +303,7 @@
             lost_work,
         } = self;
         format!(
-            " gain={gain:.0} loss={loss:.0} lost_core_s={lost_work:.1} \
+            " gain={gain:.2} loss={loss:.2} lost_core_s={lost_work:.1} \
              tokens={tokens:.0}"
         )
     }
@@ -319,6 +323,7 @@
 /// What the decisions by the cost of delay remember.
 #[derive(Debug, Default)]
 pub(super) struct DelayCosts {
+    pub(super) job_values: JobValues,
     pub(super) budget: Budget,
     pub(super) turns: Turns,
     pub(super) declines: Declines,
--- a/crates/coordination/src/scheduler/delay_order.rs
+++ b/crates/coordination/src/scheduler/delay_order.rs
@@ -41,7 +41,7 @@
     }
 
     /// Returns whether capacity is freed or reserved for a group as soon as it
-    /// does not fit. A late group gains nothing by that unless it has a turn.
+    /// does not fit. Work without any value left gets it only on its turn.
     pub(super) fn gets_capacity_at_once(
         &self,
         now: Now,
@@ -50,9 +50,9 @@
         if !self.features.delay_cost {
             return group.priority == 0;
         }
-        let is_in_time =
-            || group.demand.lateness(now.wall_ms) == Lateness::InTime;
-        group.claim || group.has_turn || group.priority == 0 && is_in_time()
+        let has_value =
+            || group.demand.lateness(now.wall_ms) != Lateness::Hopeless;
+        group.claim || group.has_turn || group.priority == 0 && has_value()
     }
 
     /// Returns the fields of a log line that explain the position of a group;
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -185,6 +185,8 @@
     preemptions: BTreeMap<TaskId, u32>,
     /// Whether the store does not accept the job's progress.
     pub(super) is_unstorable: bool,
+    /// The value of a core-second of its work to its caller.
+    pub(super) value_rate: f64,
 }
 
 impl Job {
@@ -200,6 +202,7 @@
             stalls: BTreeMap::new(),
             preemptions: BTreeMap::new(),
             is_unstorable: false,
+            value_rate: 0.0,
         }
     }
 
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -519,6 +519,7 @@
                 priority: job.batch.priority,
                 claim: cx.claim,
                 work: cores(&needs) * expected_duration.as_secs_f64() * count,
+                value_rate: job.value_rate,
                 expected: expected_duration + job.time_after_step(step),
                 accepted_ms: job.allowed_from_ms(occurrence),
                 due_ms: job.due_ms(occurrence),
--- a/crates/coordination/src/scheduler/victims.rs
+++ b/crates/coordination/src/scheduler/victims.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Now, Scheduler,
-    cost::{VictimValue, weight},
+    cost::VictimValue,
     job::{Job, Run},
 };
 
@@ -182,7 +182,7 @@
         Self {
             left_s: left.as_secs_f64(),
             estimate_s,
-            open_value: weight(job.batch.priority) * work,
+            open_value: job.value_rate * work,
         }
     }
 
@@ -203,7 +203,7 @@
         };
         let is_in_time = remaining_s <= self.left_s;
         VictimValue {
-            weight: weight(job.batch.priority),
+            value_rate: job.value_rate,
             preemptions: job.preemptions(task),
             deadline_value: if is_in_time { self.open_value } else { 0.0 },
             margin_s: self.left_s - next_run_s,
