Prefer proven workers for last attempts, and probe with resumed tasks

Cause: of workers that become faulty together, each is noticed only when it gets work, so the second and last attempt of a gang could meet another one. A run that resumes from a checkpoint looked like one with progress, so a faulty worker on trial got such a probe every 100 ms. The same happened with the tasks of a job whose failures were not confirmed by another job.

Change: for 10 s after a suspicion, last attempts prefer workers on which a run has started since and made progress. The progress of a resumed run counts from the first one that is reported. Any early failure during a trial makes the worker suspect again. Runs of cancelled jobs are no evidence.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -216,6 +216,7 @@
                 percent: 0,
                 progressed_at: now.monotonic,
                 initial_percent: 0,
+                first_percent: None,
             };
             let needs = job.batch.step(task).map(|s| s.needs);
             job.runs.insert(task, run);
--- a/crates/coordination/src/scheduler/avoidance.rs
+++ b/crates/coordination/src/scheduler/avoidance.rs
@@ -40,6 +40,9 @@
 /// The agents that a group avoids.
 #[derive(Debug, Default)]
 pub(super) struct Avoidance {
+    /// The agents that it avoids if it fits on the others without being
+    /// spread; `None` if there are no more than in `agents`.
+    pub(super) preferred: Option<Vec<String>>,
     pub(super) agents: Vec<String>,
     /// The agents that it still avoids when nothing fits elsewhere; `None` if
     /// it waits instead.
@@ -60,6 +63,7 @@
         if !self.features.worker_health {
             let is_empty = job.excluded_agents.is_empty();
             return Avoidance {
+                preferred: None,
                 agents: job.excluded_agents.clone(),
                 fallback: (!is_empty).then(Vec::new),
             };
@@ -71,6 +75,7 @@
         }
         let mut unfit = Vec::new();
         let mut doubtful = Vec::new();
+        let mut unproven = Vec::new();
         for Candidate { agent, .. } in candidates {
             let is_suspect = self.health.is_suspect(agent);
             let takes_probes = !group.gang && !history.is_last_attempt;
@@ -80,6 +85,10 @@
                 && self.health.is_doubtful(now.monotonic, agent)
             {
                 doubtful.push(agent.clone());
+            } else if history.is_last_attempt
+                && self.health.is_unproven(now.monotonic, agent)
+            {
+                unproven.push(agent.clone());
             }
         }
         let fallback = if group.claim {
@@ -93,9 +102,15 @@
             let agents = excluded.iter().chain(&unfit).cloned();
             (is_late && !doubtful.is_empty()).then(|| agents.collect())
         };
-        let agents = excluded.into_iter().chain(unfit).chain(doubtful);
+        let agents: Vec<String> =
+            excluded.into_iter().chain(unfit).chain(doubtful).collect();
+        let preferred = (!unproven.is_empty()).then(|| {
+            let all = agents.iter().cloned().chain(unproven);
+            all.collect()
+        });
         Avoidance {
-            agents: agents.collect(),
+            preferred,
+            agents,
             fallback,
         }
     }
@@ -154,9 +169,13 @@
     if holds_siblings(now, job, group.first()) {
         group.tasks.retain(|t| is_decisive(job, *t));
     }
+    let (failed, others): (Vec<TaskId>, Vec<TaskId>) =
+        group.tasks.iter().partition(|t| {
+            job.failed_runs.contains_key(t) || job.is_last_attempt(**t)
+        });
     let mut groups: BTreeMap<FailureHistory, TaskGroup> = BTreeMap::new();
-    for task in &group.tasks {
-        let history = history(now, job, &[*task]);
+    for task in failed {
+        let history = history(now, job, &[task]);
         let key = FailureHistory {
             failed_at: None,
             ..history.clone()
@@ -166,10 +185,12 @@
             history: history.clone(),
             ..group.clone()
         });
-        part.tasks.push(*task);
+        part.tasks.push(task);
         part.history.failed_at = part.history.failed_at.max(history.failed_at);
     }
-    groups.into_values().collect()
+    group.tasks = others;
+    let parts = groups.into_values().chain([group]);
+    parts.filter(|g| !g.tasks.is_empty()).collect()
 }
 
 /// Returns whether a task of the same step is decisive and has neither ended
--- a/crates/coordination/src/scheduler/evidence.rs
+++ b/crates/coordination/src/scheduler/evidence.rs
@@ -22,6 +22,13 @@
 const MAX_FAILED_RUNS: usize = 8;
 
 impl Scheduler {
+    /// Returns the number of workers that get no work, or at most a probe,
+    /// because they fail the runs that they start.
+    #[must_use]
+    pub fn suspect_workers(&self) -> usize {
+        self.health.suspect_workers()
+    }
+
     /// Returns the result of a run that failed.
     pub(super) fn failure_of(
         &mut self,
@@ -29,8 +36,8 @@
         id: TaskId,
         run: &Run,
     ) -> RunResult {
-        let has_progressed = run.percent > run.initial_percent;
-        if !self.features.worker_health || run.is_adopted || has_progressed {
+        let says_little = run.is_adopted || run.has_progressed();
+        if !self.features.worker_health || says_little {
             return RunResult::Failed;
         }
         let running_for = running_for(now, self.workers.get(&run.agent), run);
@@ -90,6 +97,9 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
+        if job.batch.cancelled {
+            return;
+        }
         let evidence = match result {
             RunResult::FailedEarly | RunResult::Stuck => Evidence::Strong,
             RunResult::Failed | RunResult::Succeeded => Evidence::Weak,
@@ -215,7 +225,7 @@
     let running_for = running_for(now, worker, run);
     TrialState {
         running_for: running_for.filter(|_| run.stopping.is_none()),
-        has_progressed: run.percent > run.initial_percent,
+        has_progressed: run.has_progressed(),
         expected: estimated_duration(job, id),
     }
 }
--- a/crates/coordination/src/scheduler/health.rs
+++ b/crates/coordination/src/scheduler/health.rs
@@ -42,6 +42,12 @@
 /// How long a failure counts as recent for jobs on their last attempt.
 const RECENT_FAILURE: Duration = Duration::from_secs(4);
 
+/// How long after a suspicion other workers may have the same fault.
+const ALARM_TIME: Duration = Duration::from_secs(10);
+
+/// How long a start that was followed by progress shows that a worker is sound.
+const MAX_PROOF_AGE: Duration = Duration::from_secs(3);
+
 /// The fraction of the expected run time in which a failure without progress
 /// counts against the worker.
 const EARLY_FRACTION: f64 = 0.1;
@@ -157,6 +163,8 @@
     /// When it was last suspect or on trial.
     doubted_at: Option<Duration>,
     failed_at: Option<Duration>,
+    /// The latest start of a run that has made progress since.
+    proven_at: Option<Duration>,
     /// The latest early failure of each job, by time.
     early_failures: Vec<(Duration, BatchId)>,
     score: Score,
@@ -241,6 +249,10 @@
     rates: FailureRates,
     /// Whether so many workers are suspect that suspicions are ignored.
     is_ignored: bool,
+    /// When a worker became suspect last.
+    suspected_at: Option<Duration>,
+    /// When the first of the workers that are suspect of late became so.
+    alarm_at: Duration,
 }
 
 impl Health {
@@ -259,6 +271,9 @@
             self.rates.record(failure.queue, true);
         }
         let record = self.records.entry(failure.agent.to_owned()).or_default();
+        let is_confirmed = is_confirmed
+            || failure.evidence == Evidence::Strong
+                && matches!(record.stage, Stage::Trial { .. });
         record.failed_at = Some(now);
         if failure.evidence == Evidence::Strong {
             record.early_failures.retain(|(at, job)| {
@@ -275,6 +290,11 @@
         if !is_confirmed && !record.score.is_improbable(now) {
             return None;
         }
+        let is_new = self.suspected_at.is_none_or(|at| now > at + ALARM_TIME);
+        if is_new {
+            self.alarm_at = now;
+        }
+        self.suspected_at = Some(now);
         Some(Suspicion {
             evidence: failure.evidence,
             backoff: record.suspect(now),
@@ -325,6 +345,35 @@
         }
     }
 
+    /// Records that a run that started at `started_at` has made progress.
+    pub(super) fn record_progress(
+        &mut self,
+        agent: &str,
+        started_at: Duration,
+    ) {
+        if let Some(record) = self.records.get_mut(agent) {
+            record.proven_at = record.proven_at.max(Some(started_at));
+        } else {
+            let record = Record {
+                proven_at: Some(started_at),
+                ..Record::default()
+            };
+            self.records.insert(agent.to_owned(), record);
+        }
+    }
+
+    /// Returns whether workers became suspect of late, and this one has not
+    /// shown since that it is sound. Several often fail at the same time, and
+    /// each is noticed only when it gets work.
+    pub(super) fn is_unproven(&self, now: Duration, agent: &str) -> bool {
+        let is_alarmed =
+            self.suspected_at.is_some_and(|at| now <= at + ALARM_TIME);
+        let proven_at = self.records.get(agent).and_then(|r| r.proven_at);
+        let oldest_proof =
+            self.alarm_at.max(now.saturating_sub(MAX_PROOF_AGE));
+        is_alarmed && proven_at.is_none_or(|at| at < oldest_proof)
+    }
+
     /// Records that a run was placed. Returns whether it is a probe.
     pub(super) fn record_placement(
         &mut self,
@@ -405,6 +454,11 @@
         (self.is_ignored && !was_ignored).then_some(suspect)
     }
 
+    /// Returns the number of suspect workers.
+    pub(super) fn suspect_workers(&self) -> usize {
+        self.records.values().filter(|r| r.is_suspect()).count()
+    }
+
     /// Returns whether suspicions are ignored.
     pub(super) const fn is_ignored(&self) -> bool {
         self.is_ignored
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -89,6 +89,9 @@
     pub(super) progressed_at: Duration,
     /// The progress, in percent, when this run was first listed.
     pub(super) initial_percent: u32,
+    /// The progress, in percent, from which it began; `None` until it is
+    /// listed.
+    pub(super) first_percent: Option<u32>,
 }
 
 impl Run {
@@ -115,6 +118,21 @@
         }
     }
 
+    /// Records a listed progress, in percent. Returns whether it is the first
+    /// progress of this run. One that resumed from a checkpoint began with the
+    /// first listed progress.
+    pub(super) fn record_progress(&mut self, percent: u32) -> bool {
+        let is_resumed = self.is_adopted || !self.checkpoint.is_empty();
+        let first = if is_resumed { percent } else { 0 };
+        let first = *self.first_percent.get_or_insert(first);
+        self.percent <= first && percent > first
+    }
+
+    /// Returns whether a snapshot has shown progress of this run.
+    pub(super) fn has_progressed(&self) -> bool {
+        self.first_percent.is_some_and(|first| self.percent > first)
+    }
+
     /// Returns whether a call to start the run that this coordinator has
     /// ordered may be on its way.
     pub(super) fn awaits_answers(&self, now: Duration) -> bool {
@@ -337,6 +355,7 @@
             percent: 0,
             progressed_at: now,
             initial_percent: 0,
+            first_percent: None,
         };
         self.runs.insert(task, run);
     }
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -287,7 +287,9 @@
             prefer_fast: group.priority == 0,
         };
         let allow_spread = may_spread(now, group, &request, candidates);
-        let assign = |request: &PlacementRequest| -> Assignment {
+        let assign = |request: &PlacementRequest,
+                      allow_spread|
+         -> Assignment {
             if group.gang {
                 request
                     .place_all(candidates, group.count(), allow_spread)
@@ -296,13 +298,21 @@
                 request.place_up_to(candidates, group.count(), allow_spread)
             }
         };
-        let mut assignment = assign(&request);
+        let mut assignment = Assignment::new();
+        if let Some(agents) = &avoidance.preferred {
+            request.excluded_agents = agents;
+            assignment = assign(&request, false);
+        }
+        if assignment.is_empty() {
+            request.excluded_agents = &avoidance.agents;
+            assignment = assign(&request, allow_spread);
+        }
         if assignment.is_empty()
             && let Some(agents) = &avoidance.fallback
         {
             // Nothing fits elsewhere, so the avoided agents are used as well.
             request.excluded_agents = agents;
-            assignment = assign(&request);
+            assignment = assign(&request, allow_spread);
         }
         let needs = step.needs;
         let mut tasks = group.tasks.iter().copied();
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -364,6 +364,11 @@
         if run.calls_have_ended(now.monotonic) {
             run.settled_at = Duration::ZERO;
         }
+        if run.record_progress(running.percent) {
+            let started_at = run.ordered_at.unwrap_or(run.placed_at);
+            self.health.record_progress(agent, started_at);
+            job.has_progressed = true;
+        }
         if let Phase::Ordered { .. } = run.phase {
             run.phase = Phase::Running {
                 first_seen_ms: clock_ms,
@@ -375,7 +380,6 @@
         if running.percent > run.percent {
             run.percent = running.percent;
             run.progressed_at = now.monotonic;
-            job.has_progressed = true;
         }
         let observation = Observation {
             task: running.task,
--- a/crates/coordination/tests/fleet/worker_health.rs
+++ b/crates/coordination/tests/fleet/worker_health.rs
@@ -1,5 +1,7 @@
 //! Tests of workers that fail the runs that they start.
 
+mod last_attempts;
+
 use std::time::Duration;
 
 use figrill_state::batch::{BatchId, BatchState};
@@ -178,6 +180,28 @@
     assert_eq!(details(&sim, Code::WorkerProbed).len(), 1);
 }
 
+// Guards against a worker that gets one probe after the other because these
+// resume from a checkpoint, which looks like progress.
+#[test]
+fn a_failed_probe_that_resumes_from_a_checkpoint_counts() {
+    let mut sim = site_with_suspect();
+    set_fails_starts(&mut sim, &["agent-00"], true);
+    assert!(sim.run_until(900, Sim::all_ended), "{:?}", sim.pool.trace);
+    let mut preempted = job(2, 2, 24, 1, 20_000);
+    preempted.steps[0].checkpoints = true;
+    preempted.attempts = 4;
+    sim.submit(preempted);
+    sim.run(1200);
+    let mut claim = job(3, 0, 1, 8, 5000);
+    claim.attempts = 1;
+    sim.submit(claim);
+    sim.run(1000);
+    assert!(!details(&sim, Code::WorkerProbed).is_empty());
+    let suspicions = details(&sim, Code::WorkerQuarantined);
+    assert_eq!(suspicions.len(), 2, "{:?}", sim.health_events);
+    assert!(suspicions[1].contains("evidence=Strong"), "{suspicions:?}");
+}
+
 // Guards against a start on a worker that became suspect after the placement.
 #[test]
 fn a_placement_on_a_suspect_worker_is_withdrawn() {
@@ -196,6 +220,20 @@
     assert_ne!(agents[0], "agent-00");
 }
 
+// Guards against a worker that is suspect because a caller cancelled a job.
+#[test]
+fn a_run_of_a_cancelled_job_says_nothing_of_its_worker() {
+    let mut sim = Sim::with_features(4, 1, HEALTH);
+    sim.run(300);
+    set_fails_starts(&mut sim, &["agent-00"], true);
+    sim.submit(job(1, 1, 1, 1, 600));
+    assert!(sim.run_until(1000, |s| count_events(s, "start") == 1));
+    sim.cancel(BatchId(1));
+    sim.run(1000);
+    assert_eq!(count_events(&sim, "failed"), 1);
+    assert_eq!(sim.health_events, []);
+}
+
 // Guards against a suspicion that outlives the process that it is about.
 #[test]
 fn a_restarted_upstream_is_probed_at_once() {
@@ -292,59 +330,6 @@
     assert_eq!(sim.agent_of_last_start(), agent);
 }
 
-// Guards against a job that fails for good on a worker where others have just
-// failed although it could still have waited.
-#[test]
-fn a_last_attempt_waits_for_a_worker_without_failures() {
-    struct Case {
-        name: &'static str,
-        busy_ms: u64,
-        uses_failed_worker: bool,
-        starts_after_ms: std::ops::Range<u64>,
-    }
-    let cases = [
-        Case {
-            name: "another worker becomes free in time",
-            busy_ms: 2500,
-            uses_failed_worker: false,
-            starts_after_ms: 1500..2500,
-        },
-        Case {
-            name: "the slack is used up before",
-            busy_ms: 20_000,
-            uses_failed_worker: true,
-            starts_after_ms: 2900..3200,
-        },
-    ];
-    for case in cases {
-        let mut sim = Sim::with_features(3, 1, HEALTH);
-        sim.submit(job(1, 1, 2, 8, case.busy_ms));
-        assert!(sim.run_until(1000, |s| count_events(s, "start") == 2));
-        let mut faulty = job(2, 1, 1, 1, 400);
-        faulty.attempts = 1;
-        faulty.payload.push_str(" fail");
-        sim.submit(faulty);
-        assert!(sim.run_until(1000, |s| count_events(s, "failed") == 1));
-        let failed_worker = sim.agent_of_last_start();
-        // The scheduler hears of it.
-        sim.run(100);
-        let mut last_attempt = job(3, 1, 1, 1, 1000);
-        last_attempt.attempts = 1;
-        sim.submit(last_attempt);
-        let submitted_ms = sim.now_ms;
-        assert!(sim.run_until(5000, |s| count_events(s, "start") == 4));
-        let waited_ms = sim.now_ms - submitted_ms;
-        assert!(
-            case.starts_after_ms.contains(&waited_ms),
-            "{}: {waited_ms} ms",
-            case.name
-        );
-        let is_failed_worker = sim.agent_of_last_start() == failed_worker;
-        assert_eq!(is_failed_worker, case.uses_failed_worker, "{}", case.name);
-        assert_eq!(details(&sim, Code::WorkerQuarantined), [""; 0]);
-    }
-}
-
 // Guards against healthy workers that get no work because tasks fail by their
 // own fault.
 #[test]
@@ -447,17 +432,23 @@
     assert!(starts.is_empty(), "{starts:?}");
 }
 
-// Guards against a worker that is suspect because the tasks of one job fail at
-// once wherever they run.
+// Guards against workers that are suspect because the tasks of one job fail at
+// once wherever they run, and against a suspect one that gets a probe of that
+// job every 100 ms.
 #[test]
 fn a_job_that_fails_everywhere_makes_few_workers_suspect() {
     let mut sim = Sim::with_features(12, 1, HEALTH);
-    let mut batch = job(1, 1, 90, 1, 20);
-    batch.attempts = 4;
+    // Its runs end too early to show any progress.
+    let mut batch = job(1, 1, 90, 1, 0);
+    batch.attempts = 40;
     batch.payload.push_str(" fail");
     sim.submit(batch);
-    assert!(sim.run_until(10_000, Sim::all_ended));
+    assert!(sim.run_until(20_000, Sim::all_ended));
     let mut suspicions = details(&sim, Code::WorkerQuarantined);
+    let has_relapsed = suspicions.iter().any(|d| d.contains("=2000"));
+    assert!(has_relapsed, "{suspicions:?}");
+    let probes = details(&sim, Code::WorkerProbed).len();
+    assert!(probes < suspicions.len(), "{probes} {suspicions:?}");
     suspicions.sort_unstable();
     suspicions.dedup_by_key(|d| d.split(' ').next().map(str::to_owned));
     assert!((1..=3).contains(&suspicions.len()), "{suspicions:?}");
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -281,6 +281,7 @@
             }
             self.handle_inputs(&mut scheduler, &mut directory, &inputs);
             scheduler.tick(self.now());
+            self.set_suspect_workers(scheduler.suspect_workers());
             let valid = term.is_valid();
             if valid != last_valid {
                 last_valid = valid;
@@ -299,6 +300,7 @@
             }
             self.dial_and_heartbeat(&mut directory);
         }
+        self.set_suspect_workers(0);
         Ok(())
     }
 
--- a/crates/node/src/fleet/lead/calls.rs
+++ b/crates/node/src/fleet/lead/calls.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    StoreInput,
+    Coordinator, StoreInput,
     records::decode_input,
     term::{LEASE_TTL, Term},
 };
@@ -26,6 +26,13 @@
 /// The maximum wait of one watch for changes of jobs and agents.
 const INPUT_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 
+impl Coordinator {
+    /// Sets the gauge of workers that get no work because they fail it.
+    pub(super) fn set_suspect_workers(&self, count: usize) {
+        self.journal.metrics.set_gauge("suspect_workers", count);
+    }
+}
+
 /// Starts the thread that watches the records of jobs and agents after
 /// `revision`. If the watch fails or its history is compacted, all of them are
 /// read again.
