--- a/crates/coordination/src/scheduler/evidence.rs
+++ b/crates/coordination/src/scheduler/evidence.rs
@@ -36,8 +36,8 @@
         id: TaskId,
         run: &Run,
     ) -> RunResult {
-        let says_little = run.is_adopted || run.has_progressed();
-        if !self.features.worker_health || says_little {
+        let is_weak = run.is_adopted || run.has_progressed();
+        if !self.features.worker_health || is_weak {
             return RunResult::Failed;
         }
         let running_for = running_for(now, self.workers.get(&run.agent), run);
