--- a/crates/coordination/tests/fleet/worker_health.rs
+++ b/crates/coordination/tests/fleet/worker_health.rs
@@ -433,17 +433,23 @@
     assert!(starts.is_empty(), "{starts:?}");
 }
 
-// Guards against a worker that is suspect because the tasks of one job fail at
-// once wherever they run.
+// Guards against workers that are suspect because the tasks of one job fail at
+// once wherever they run, and against a suspect one that gets a probe of that
+// job every 100 ms.
 #[test]
 fn a_job_that_fails_everywhere_makes_few_workers_suspect() {
     let mut sim = Sim::with_features(12, 1, HEALTH);
-    let mut batch = job(1, 1, 90, 1, 20);
-    batch.attempts = 4;
+    // Its runs end too early to show any progress.
+    let mut batch = job(1, 1, 90, 1, 0);
+    batch.attempts = 40;
     batch.payload.push_str(" fail");
     sim.submit(batch);
-    assert!(sim.run_until(10_000, Sim::all_ended));
+    assert!(sim.run_until(20_000, Sim::all_ended));
     let mut suspicions = details(&sim, Code::WorkerQuarantined);
+    let has_relapsed = suspicions.iter().any(|d| d.contains("=2000"));
+    assert!(has_relapsed, "{suspicions:?}");
+    let probes = details(&sim, Code::WorkerProbed).len();
+    assert!(probes < suspicions.len(), "{probes} {suspicions:?}");
     suspicions.sort_unstable();
     suspicions.dedup_by_key(|d| d.split(' ').next().map(str::to_owned));
     assert!((1..=3).contains(&suspicions.len()), "{suspicions:?}");
