--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,8 +8,9 @@
 //! state is kept in the platform's store, [`scheduler`], [`entries`],
 //! [`store_path`], [`orders`], [`registration`], [`fencing`] and [`campaign`]
 //! take their place, and [`retry_after`] says when refused callers return, by
-//! the [`outages`] of the store. [`learn`] estimates run times for both, and [`adoption`]
-//! tracks the revision of the settings that a process has in force.
+//! the [`outages`] of the store. [`learn`] estimates run times for both, and
+//! [`adoption`] tracks the revision of the settings that a process has in
+//! force.
 //!
 //! ```
 //! use std::time::Duration;
--- a/crates/coordination/src/retry_after.rs
+++ b/crates/coordination/src/retry_after.rs
@@ -41,8 +41,7 @@
 /// The growth of the mean delay for each second that an outage has lasted.
 const DELAY_GROWTH: f64 = 0.2;
 
-/// The delay after the expected end of an outage, in seconds, in which the
-/// entries notice the end.
+/// The time, in seconds, in which the entries notice the end of an outage.
 const END_MARGIN_S: f64 = 0.5;
 
 /// How much longer than its schedule demands, in seconds, a caller may be told
@@ -50,9 +49,9 @@
 const MAX_EXTENSION_S: f64 = 1.0;
 
 /// The range of the longest delay in an outage that lasts longer than the
-/// covered one, in seconds. Within it, the caller's own time limit counts: a
-/// caller that waits longer for an answer is taken to be as patient between
-/// its attempts.
+/// covered one, in seconds. Within it, the delay is the caller's own time
+/// limit: a caller that waits longer for an answer is assumed to accept longer
+/// delays between its attempts.
 const MAX_DELAY_S: (f64, f64) = (4.0, 8.0);
 
 /// The mean delay of a refusal that no outage explains, in seconds. Another
@@ -125,8 +124,8 @@
         wanted.min(self.longest_delay_s(elapsed, shortest))
     }
 
-    /// Returns the longest mean delay. It spends no more of a covered outage
-    /// than needed, and does not reach far beyond it.
+    /// Returns the longest mean delay. Until [`COVERED_OUTAGE`] is over, it
+    /// leaves time for the later retries and ends soon after that time.
     fn longest_delay_s(&self, elapsed: Duration, shortest: f64) -> f64 {
         let Some(left) = COVERED_OUTAGE.checked_sub(elapsed) else {
             let (low, high) = MAX_DELAY_S;
--- a/crates/coordination/src/scheduler/cost.rs
+++ b/crates/coordination/src/scheduler/cost.rs
@@ -38,15 +38,16 @@
 /// messages to its agent.
 const START_LATENCY: Duration = Duration::from_millis(50);
 
-/// The fraction of its expected run time that work does not spend on waiting,
-/// because its estimate may be too low.
+/// The fraction of its expected run time by which work may take longer and
+/// still end in time, however long it waits for capacity.
 const ESTIMATE_MARGIN: f64 = 0.2;
 
 /// The factor by which the gain of a preemption has to exceed its loss. Both
 /// follow from estimates of run times.
 const MIN_GAIN_FACTOR: f64 = 1.5;
 
-/// How often work is preempted for work other than claims.
+/// The number of preemptions of a task, for any work, after which only claims
+/// may preempt it.
 const MAX_PREEMPTIONS: u32 = 2;
 
 /// Returns the value of a job with the mean work of its queue.
@@ -60,7 +61,7 @@
     PRIORITY_WEIGHTS[last] * LOWER_PRIORITY_FACTOR.powi(levels)
 }
 
-/// How late work is, as the model sees it.
+/// How late the job of waiting work is expected to end.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Lateness {
     /// It can still end by its deadline.
@@ -133,8 +134,9 @@
         self.value_rate * self.work * share
     }
 
-    /// Returns the time for which the tasks can certainly wait, as far as the
-    /// estimate is right within [`ESTIMATE_MARGIN`].
+    /// Returns the time for which the tasks can wait and still meet the
+    /// deadline, if the estimate is not too low by more than
+    /// [`ESTIMATE_MARGIN`].
     pub(super) fn spare_time(&self, now_ms: u64) -> Duration {
         let needed =
             START_LATENCY + self.expected.mul_f64(1.0 + ESTIMATE_MARGIN);
@@ -143,8 +145,8 @@
     }
 
     /// Returns the value that is gained by a start after `delay` instead of
-    /// one after `wait`. Work that is late after either gains nothing, nor
-    /// does work that has the time to wait.
+    /// one after `wait`. Work that is equally late after either gains nothing,
+    /// and neither does work that has the time to wait.
     pub(super) fn gain(
         &self,
         now_ms: u64,
@@ -231,8 +233,8 @@
     pub(super) value_rate: f64,
     /// How often it has been preempted already.
     pub(super) preemptions: u32,
-    /// The value that its job has left, if it still meets its deadline; zero
-    /// otherwise.
+    /// The value of the tasks of its step that are not done, if it is expected
+    /// to end in time for its deadline; zero otherwise.
     pub(super) deadline_value: f64,
     /// How long its next run may be delayed without missing the deadline, in
     /// seconds.
@@ -320,7 +322,8 @@
     }
 }
 
-/// What the decisions by the cost of delay remember.
+/// The state that decisions by the cost of delay keep from one planning pass to
+/// the next.
 #[derive(Debug, Default)]
 pub(super) struct DelayCosts {
     pub(super) job_values: JobValues,
--- a/crates/coordination/src/scheduler/cost/turns.rs
+++ b/crates/coordination/src/scheduler/cost/turns.rs
@@ -12,8 +12,9 @@
 use super::{Demand, Lateness};
 
 /// How long a late group waits for a turn, as a multiple of its expected run
-/// time. Work that is allowed three times its run time is late after two and
-/// has no value after eight, so a turn still helps it.
+/// time. Work whose allowed time is three times its run time is late once it
+/// has waited for two run times, and has no value once it has waited for
+/// eight.
 const STARVATION_FACTOR: f64 = 4.0;
 
 /// The minimum time that a late group waits for a turn.
@@ -22,7 +23,7 @@
 /// The work of turns as a fraction of the work that others were given.
 const TURN_FRACTION: f64 = 0.1;
 
-/// A group that waits.
+/// A group that waits to be placed.
 #[derive(Clone, Copy, Debug)]
 pub(in super::super) struct Waiting {
     pub(in super::super) first: TaskId,
--- a/crates/coordination/src/scheduler/delay_order.rs
+++ b/crates/coordination/src/scheduler/delay_order.rs
@@ -41,7 +41,8 @@
     }
 
     /// Returns whether capacity is freed or reserved for a group as soon as it
-    /// does not fit. Work without any value left gets it only on its turn.
+    /// does not fit. Work without any value left first waits like work below
+    /// priority 0, unless it has a turn.
     pub(super) fn gets_capacity_at_once(
         &self,
         now: Now,
--- a/crates/coordination/src/scheduler/drains.rs
+++ b/crates/coordination/src/scheduler/drains.rs
@@ -1,9 +1,9 @@
 //! Failure domains that are drained at the request of operators.
 //!
 //! The load that this addresses: a failure domain is taken out of service
-//! while bursts of work arrive and capacity is short, so its workers look
-//! attractive as soon as their runs end. A start that is decided from an old
-//! view of the requests would break the time limit of
+//! while bursts of work arrive and capacity is short, so work would be placed
+//! on its workers as soon as their runs end. A start that is decided from an
+//! old view of the requests would break the time limit of
 //! [`Limits::domain_drain`](figrill_state::limits::Limits::domain_drain). So
 //! nothing is placed and no start is ordered unless the requests were read
 //! recently enough that the start's own deadline is within the limit.
@@ -31,7 +31,8 @@
     /// When the read was sent whose result this is. `None` if the requests
     /// have not been read in this term.
     read_at: Option<Duration>,
-    /// Whether it was recorded that starts are withheld.
+    /// Whether [`Code::StartsWithheld`] was recorded after the last
+    /// [`Code::StartsResumed`].
     withholding: bool,
     /// Whether all workers are in drained failure domains.
     covers_all: bool,
--- a/crates/coordination/src/scheduler/health.rs
+++ b/crates/coordination/src/scheduler/health.rs
@@ -39,13 +39,15 @@
 /// accelerators of a usual worker.
 const MAX_TRIAL_TASKS: u32 = 8;
 
-/// How long a failure counts as recent for jobs on their last attempt.
+/// How long tasks on their last attempt avoid a worker after a failure there.
 const RECENT_FAILURE: Duration = Duration::from_secs(4);
 
-/// How long after a suspicion other workers may have the same fault.
+/// How long after a suspicion other workers are assumed to have the same fault
+/// until their runs make progress.
 const ALARM_TIME: Duration = Duration::from_secs(10);
 
-/// How long a start that was followed by progress shows that a worker is sound.
+/// How long after its start a run that has made progress shows that its worker
+/// is not faulty.
 const MAX_PROOF_AGE: Duration = Duration::from_secs(3);
 
 /// The fraction of the expected run time in which a failure without progress
@@ -55,8 +57,8 @@
 /// The fraction of the expected run time after which a trial run has passed.
 const PASS_FRACTION: f64 = 0.2;
 
-/// The bounds of both times. The lower one is the time that reports take; in
-/// the upper one a sound worker shows progress.
+/// The bounds of both times. Reports may take as long as the lower one; within
+/// the upper one, runs on a worker without a fault make progress.
 const MIN_RUN_CHECK: Duration = Duration::from_millis(300);
 const MAX_RUN_CHECK: Duration = Duration::from_secs(1);
 
@@ -163,7 +165,7 @@
     /// When it was last suspect or on trial.
     doubted_at: Option<Duration>,
     failed_at: Option<Duration>,
-    /// The latest start of a run that has made progress since.
+    /// When the latest of its runs that have made progress was started.
     proven_at: Option<Duration>,
     /// The latest early failure of each job, by time.
     early_failures: Vec<(Duration, BatchId)>,
@@ -251,7 +253,8 @@
     is_ignored: bool,
     /// When a worker became suspect last.
     suspected_at: Option<Duration>,
-    /// When the first of the workers that are suspect of late became so.
+    /// When the first of a series of suspicions was, each of which is at most
+    /// [`ALARM_TIME`] after the one before.
     alarm_at: Duration,
 }
 
@@ -362,9 +365,9 @@
         }
     }
 
-    /// Returns whether workers became suspect of late, and this one has not
-    /// shown since that it is sound. Several often fail at the same time, and
-    /// each is noticed only when it gets work.
+    /// Returns whether any worker became suspect within [`ALARM_TIME`], and no
+    /// run has shown since that this one is not faulty. Several often fail at
+    /// the same time, and each is noticed only when it gets work.
     pub(super) fn is_unproven(&self, now: Duration, agent: &str) -> bool {
         let is_alarmed =
             self.suspected_at.is_some_and(|at| now <= at + ALARM_TIME);
--- a/crates/coordination/src/scheduler/oversized.rs
+++ b/crates/coordination/src/scheduler/oversized.rs
@@ -1,8 +1,10 @@
-//! Detects tasks that need more than any worker of their service has offered.
+//! Detects tasks that need more of a resource than any worker of their service
+//! has offered.
 //!
 //! The load that this addresses: a job that no worker can run waits for ever,
-//! and looks like one that waits for capacity. It is only suspected, as larger
-//! workers may join, so the job is kept and an event is recorded.
+//! and its log lines are those of a job that waits for capacity. As larger
+//! workers may join, the job is kept and an event is recorded. Tasks for which
+//! each resource suffices on some worker, but all on none, are not detected.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -75,8 +77,8 @@
 }
 
 impl Scheduler {
-    /// Records an event for each job that waits and has a task that no worker
-    /// has been large enough for, once.
+    /// Records an event, once, for each job that has not ended and has a task
+    /// that no worker has been large enough for.
     pub(super) fn report_oversized(&mut self, now: Now) {
         let oversized = &mut self.oversized;
         if !self.features.retry_outlook || now.monotonic < oversized.next_check
--- a/crates/coordination/src/scheduler/pace.rs
+++ b/crates/coordination/src/scheduler/pace.rs
@@ -1,5 +1,6 @@
-//! What the scheduler tells [`LearntSpeeds`](super::speed::LearntSpeeds) about
-//! its runs, and the speed that a group of tasks demands of its workers.
+//! Passes the progress of runs to
+//! [`LearntSpeeds`](super::speed::LearntSpeeds), and computes the speed that a
+//! group of tasks demands of its workers.
 
 use std::time::Duration;
 
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -27,12 +27,12 @@
     victims::cores,
 };
 
-/// How long a group of tasks below priority 0 waits before capacity is freed
-/// or reserved for it.
+/// How long a group waits before capacity is freed or reserved for it, unless
+/// it gets that at once.
 const RESERVATION_WAIT: Duration = Duration::from_millis(1500);
 
-/// The maximum number of groups below priority 0 for which one planning pass
-/// frees or reserves capacity.
+/// The maximum number of groups that have waited for [`RESERVATION_WAIT`] for
+/// which one planning pass frees or reserves capacity.
 const MAX_RESERVATIONS: usize = 2;
 
 /// The factor applied to the median run time of a queue's tasks. A task is
@@ -108,8 +108,8 @@
 
 impl Scheduler {
     /// Places waiting tasks in order. For those that do not fit, preempts runs
-    /// or reserves capacity: at once if they have priority 0, and otherwise
-    /// once they have waited for [`RESERVATION_WAIT`].
+    /// or reserves capacity: at once or once they have waited for
+    /// [`RESERVATION_WAIT`]; see [`Scheduler::gets_capacity_at_once`].
     pub(super) fn plan(&mut self, now: Now) {
         let claims = self.claims();
         if self.features.delay_cost {
--- a/crates/coordination/src/scheduler/reclaim/search.rs
+++ b/crates/coordination/src/scheduler/reclaim/search.rs
@@ -96,9 +96,8 @@
         }
     }
 
-    /// Returns whether a run of lower priority may be stopped. One that was
-    /// preempted often already ends before other work than claims gets its
-    /// capacity.
+    /// Returns whether a run of lower priority may be stopped. Only claims may
+    /// stop one that has already been preempted too often.
     fn may_stop(&self, victim: &Victim) -> bool {
         self.claim || victim.value.may_be_preempted()
     }
@@ -112,8 +111,8 @@
     }
 }
 
-/// The cost of a second of waiting for a run to end. It only
-/// has to order runs that end by themselves, which lose nothing.
+/// The cost of a second of waiting for a run to end. It only has to order runs
+/// that end by themselves, which lose nothing.
 const WAITING_COST: f64 = 0.01;
 
 /// The cost that is added for a victim of priority 0.
--- a/crates/coordination/src/scheduler/speed.rs
+++ b/crates/coordination/src/scheduler/speed.rs
@@ -5,8 +5,8 @@
 //! estimate the speeds of their workers. This matters most for gangs: a gang
 //! is only as fast as its slowest member.
 //!
-//! [`Speeds`] decides unless a deployment switches `worker_speeds` on, which
-//! replaces it by [`LearntSpeeds`].
+//! [`Speeds`] has the estimates, or [`LearntSpeeds`] where the feature
+//! `worker_speeds` is on.
 
 use std::{collections::BTreeMap, time::Duration};
 
--- a/crates/coordination/src/scheduler/speed/belief.rs
+++ b/crates/coordination/src/scheduler/speed/belief.rs
@@ -6,8 +6,8 @@
 /// It covers speeds from half to twice the usual one.
 pub(super) const PRIOR_SD: f64 = 0.35;
 
-/// The variance that a speed gains per second without observations: after ten
-/// minutes, half of what was learnt about a worker is open again.
+/// The variance that a speed gains per second without observations: in ten
+/// minutes, half of the variance of an unknown worker.
 const VARIANCE_PER_SECOND: f64 = 1e-4;
 
 /// The lowest variance of a speed. It keeps new observations at a weight of
--- a/crates/coordination/src/scheduler/speed/worker_speed.rs
+++ b/crates/coordination/src/scheduler/speed/worker_speed.rs
@@ -12,7 +12,8 @@
 /// The age up to which slow windows of runs count as simultaneous.
 const MAX_SLOW_AGE: Duration = Duration::from_millis(1500);
 
-/// The same for other windows. It is shorter, as they end with the slowdown.
+/// The same for windows that are not slow. It is shorter, because windows from
+/// before a slowdown must soon stop counting.
 const MAX_STEADY_AGE: Duration = Duration::from_millis(700);
 
 /// The number of slow windows in a row, of all runs of a worker, after which
@@ -25,7 +26,7 @@
 /// The duration from which a slowdown is taken for a lasting change.
 const LASTING_SLOWDOWN: Duration = Duration::from_secs(20);
 
-/// The variance of the former speed of a worker that has changed for long. It
+/// The variance of the former speed of a worker after [`LASTING_SLOWDOWN`]. It
 /// covers a change between the fastest and the slowest workers of a site.
 const CHANGED_VARIANCE: f64 = 0.6 * 0.6;
 
@@ -183,8 +184,7 @@
     }
 
     /// Marks runs that have been slow from their start while others on this
-    /// worker progress. They say nothing of the worker once the others have
-    /// ended, either.
+    /// worker progress. They are ignored also once the others have ended.
     fn mark_long_runs(&mut self) {
         let long = self.runs.iter().filter(|(_, evidence)| {
             evidence.initially_slow
--- a/crates/coordination/tests/fleet/learnt_speeds.rs
+++ b/crates/coordination/tests/fleet/learnt_speeds.rs
@@ -63,7 +63,7 @@
     number.map_or(f64::NAN, |n| n.parse().expect("a number"))
 }
 
-/// Guards against slow learning: urgent gangs were late for half an hour.
+/// Guards against speeds that are learnt slowly, so that urgent gangs stay late.
 #[test]
 fn one_step_accounts_for_most_of_the_differences() {
     let speeds = [60, 100, 160, 60, 100, 160];
--- a/crates/state/src/features.rs
+++ b/crates/state/src/features.rs
@@ -1,7 +1,7 @@
-//! Optional decisions of the scheduler and the entries, from the `[features]` section of the
-//! settings file. A deployment that names none is served without them.
+//! Optional decisions of the scheduler and the entries, from the `[features]`
+//! section of the settings file. They are off unless the file switches them on.
 
-/// The features that a deployment switches on. Each is a switch of its own.
+/// The features that a deployment switches on, independently of each other.
 #[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Features {
@@ -14,8 +14,9 @@
     /// Withholds work from workers that fail what they start, and gives it
     /// back step by step.
     pub worker_health: bool,
-    /// Tells refused callers to return by how long the outage of the store has
-    /// lasted and by past outages, and records jobs that may never run.
+    /// Chooses when refused callers are told to return by how long the outage
+    /// of the store has lasted and by past outages, and records jobs that may
+    /// never run.
     pub retry_outlook: bool,
 }
 
