Mend what a review of the new decisions found

Found by reading (a review of the diff), each confirmed by its test where one is named.

- A claim whose only workers are all suspect waited for their probes, up to 16 s, as the exception for a third of the workers counts the whole site.
A claim whose time limit presses uses them now if nothing else fits.
- A late group that no worker can run kept the turn of late work for ever, and others starved.
It passes the turn on after 10 s.
- Workers of drained failure domains counted as healthy when it was decided whether so many are suspect that the cause is elsewhere.
- A coordinator that had just taken over reported old jobs as oversized before it knew the workers.
The time counts from its start now.
- The jobs that count against a worker were never forgotten unless its score fell to zero.
- Names of failure domains are quoted in AllDomainsDrained.

Measured: the tests of the first two fail with their guards removed; fleet tests of delay_cost, worker_health, claims and domain_drains pass (51).

--- a/crates/coordination/src/scheduler/avoidance.rs
+++ b/crates/coordination/src/scheduler/avoidance.rs
@@ -47,6 +47,9 @@
     /// The agents that it still avoids when nothing fits elsewhere; `None` if
     /// it waits instead.
     pub(super) fallback: Option<Vec<String>>,
+    /// Whether the group is a claim that would miss its time limit if it did
+    /// not use a suspect worker when nothing else fits.
+    pub(super) is_pressed_claim: bool,
 }
 
 impl Scheduler {
@@ -66,6 +69,7 @@
                 preferred: None,
                 agents: job.excluded_agents.clone(),
                 fallback: (!is_empty).then(Vec::new),
+                is_pressed_claim: false,
             };
         }
         let history = &group.history;
@@ -91,10 +95,12 @@
                 unproven.push(agent.clone());
             }
         }
+        let is_pressed_claim =
+            group.claim && self.claim_is_pressed(now, group);
         let fallback = if group.claim {
             // Whatever has to be stopped for it elsewhere takes too long now.
             let suspect = |a: &String| self.health.is_suspect(a);
-            self.claim_is_pressed(now, group)
+            is_pressed_claim
                 .then(|| excluded.iter().filter(|a| suspect(a)).cloned())
                 .map(|agents| agents.chain(unfit.iter().cloned()).collect())
         } else {
@@ -112,6 +118,7 @@
             preferred,
             agents,
             fallback,
+            is_pressed_claim,
         }
     }
 
@@ -145,6 +152,7 @@
         excluded_agents: excluded,
         prefer_fast: false,
         demand: None,
+        ignores_suspicion: false,
     };
     let needed = if group.gang { group.count() } else { 1 };
     let fit = candidates
--- a/crates/coordination/src/scheduler/cost/turns.rs
+++ b/crates/coordination/src/scheduler/cost/turns.rs
@@ -5,7 +5,7 @@
 //! never run. Therefore the late group that has waited longest gets a turn
 //! once others have been given a multiple of its work since the last turn.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use figrill_state::batch::TaskId;
 
@@ -20,6 +20,10 @@
 /// The minimum time that a late group waits for a turn.
 const MIN_STARVATION_WAIT: Duration = Duration::from_millis(1500);
 
+/// How long a group may keep the turn without being placed, and how long it
+/// then waits for the next one. No worker may be able to run it.
+const MAX_TURN: Duration = Duration::from_secs(10);
+
 /// The work of turns as a fraction of the work that others were given.
 const TURN_FRACTION: f64 = 0.1;
 
@@ -51,23 +55,40 @@
     /// The work of earlier turns, in core-seconds, less [`TURN_FRACTION`] of
     /// the work that others were given since.
     debt: f64,
+    /// The group that has the turn, and since when.
+    current: Option<(TaskId, Duration)>,
+    /// The groups that were not placed on their turn, and when it ended.
+    passed: BTreeMap<TaskId, Duration>,
 }
 
 impl Turns {
     /// Returns the first task of the group whose turn it is, if any.
     pub(in super::super) fn next(
-        &self,
+        &mut self,
         now: Duration,
         now_ms: u64,
         waiting: impl Iterator<Item = Waiting>,
     ) -> Option<TaskId> {
         if self.debt > 0.0 {
+            self.current = None;
             return None;
         }
-        waiting
+        self.passed.retain(|_, at| now < *at + MAX_TURN);
+        if let Some((first, since)) = self.current
+            && now >= since + MAX_TURN
+        {
+            self.passed.insert(first, now);
+            self.current = None;
+        }
+        let next = waiting
             .filter(|w| w.is_starving(now, now_ms))
+            .filter(|w| !self.passed.contains_key(&w.first))
             .min_by_key(|w| (w.ready_at, w.first))
-            .map(|w| w.first)
+            .map(|w| w.first);
+        if self.current.map(|(first, _)| first) != next {
+            self.current = next.map(|first| (first, now));
+        }
+        next
     }
 
     /// Records that tasks were placed, with their work in core-seconds.
--- a/crates/coordination/src/scheduler/delay_order.rs
+++ b/crates/coordination/src/scheduler/delay_order.rs
@@ -19,7 +19,7 @@
             ready_at: g.ready_at,
             demand: g.demand,
         });
-        let turns = &self.delay_costs.turns;
+        let turns = &mut self.delay_costs.turns;
         let turn = turns.next(now.monotonic, now.wall_ms, waiting);
         for group in groups.iter_mut() {
             group.has_turn = turn == Some(group.first());
--- a/crates/coordination/src/scheduler/drains.rs
+++ b/crates/coordination/src/scheduler/drains.rs
@@ -137,7 +137,9 @@
         let covers_all = workers.peek().is_some()
             && workers.all(|w| self.is_in_drained_domain(w));
         if covers_all && !self.drain_view.covers_all {
-            let domains: Vec<_> = self.drain_view.drains.iter().collect();
+            let domains = self.drain_view.drains.iter();
+            let domains: Vec<String> =
+                domains.map(|d| format!("{d:?}")).collect();
             let detail = format!("domains={}", domains.join(","));
             self.record_drain_event(Code::AllDomainsDrained, detail);
         }
--- a/crates/coordination/src/scheduler/evidence.rs
+++ b/crates/coordination/src/scheduler/evidence.rs
@@ -160,9 +160,11 @@
             let upstream = w.upstream.as_ref();
             w.is_reachable(now.monotonic)
                 && upstream.is_some_and(|u| !u.draining)
+                && !self.is_in_drained_domain(w)
         });
-        let agents = usable.map(|(agent, _)| agent);
-        if let Some(suspect) = self.health.update_scope(agents) {
+        let agents: Vec<String> =
+            usable.map(|(agent, _)| agent.clone()).collect();
+        if let Some(suspect) = self.health.update_scope(&agents) {
             let event = NewEvent::new(
                 Code::SuspicionIgnored,
                 format!("suspect={suspect}"),
--- a/crates/coordination/src/scheduler/health.rs
+++ b/crates/coordination/src/scheduler/health.rs
@@ -443,15 +443,9 @@
     /// Decides whether suspicions are ignored, from the agents of all workers
     /// that could get work. Returns the number of suspect workers if they are
     /// ignored from now on.
-    pub(super) fn update_scope<'a>(
-        &mut self,
-        agents: impl Iterator<Item = &'a String>,
-    ) -> Option<usize> {
-        let (mut workers, mut suspect) = (0, 0);
-        for agent in agents {
-            workers += 1;
-            suspect += usize::from(self.is_suspect(agent));
-        }
+    pub(super) fn update_scope(&mut self, agents: &[String]) -> Option<usize> {
+        let workers = agents.len();
+        let suspect = agents.iter().filter(|a| self.is_suspect(a)).count();
         let was_ignored = self.is_ignored;
         self.is_ignored = suspect * MAX_SUSPECT_DIVISOR > workers;
         (self.is_ignored && !was_ignored).then_some(suspect)
--- a/crates/coordination/src/scheduler/health/failure_rate.rs
+++ b/crates/coordination/src/scheduler/health/failure_rate.rs
@@ -28,6 +28,9 @@
 /// the assumed rate, five failures in a row reach it.
 const IMPROBABLE_SCORE: f64 = 11.0;
 
+/// The score below which earlier failures no longer count.
+const NEGLIGIBLE_SCORE: f64 = 0.1;
+
 /// The number of different jobs that must have failed: one job may be faulty.
 const MIN_FAILED_JOBS: usize = 2;
 
@@ -80,6 +83,9 @@
         rate: f64,
         job: BatchId,
     ) {
+        if self.value(now) < NEGLIGIBLE_SCORE {
+            self.failed_jobs.clear();
+        }
         self.add(now, (FAULTY_RATE / rate).ln());
         if !self.failed_jobs.contains(&job) {
             self.failed_jobs.push(job);
--- a/crates/coordination/src/scheduler/oversized.rs
+++ b/crates/coordination/src/scheduler/oversized.rs
@@ -21,9 +21,9 @@
 /// The interval of the checks.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The age in milliseconds from which a job is checked. A coordinator that has
-/// just started does not know all workers yet.
-const MIN_AGE_MS: u64 = 5000;
+/// The time from the start of a coordinator until jobs are checked. It does not
+/// know all workers at first.
+const DISCOVERY_TIME: Duration = Duration::from_secs(5);
 
 /// The largest offers so far, and the jobs that exceed them.
 #[derive(Debug, Default)]
@@ -88,16 +88,15 @@
         oversized.next_check = now.monotonic + CHECK_INTERVAL;
         oversized.record_offers(self.workers.values());
         oversized.reported.retain(|id| self.jobs.contains_key(id));
-        let is_due = |job: &Job| {
-            !job.progress.state.is_final()
-                && now.wall_ms.saturating_sub(job.batch.accepted_ms)
-                    >= MIN_AGE_MS
-        };
+        if now.monotonic < self.started_at + DISCOVERY_TIME {
+            return;
+        }
         let found: Vec<(BatchId, String)> = self
             .jobs
             .iter()
             .filter(|(id, job)| {
-                is_due(job) && !oversized.reported.contains(id)
+                !job.progress.state.is_final()
+                    && !oversized.reported.contains(id)
             })
             .filter_map(|(id, job)| Some((*id, oversized.describe(job)?)))
             .collect();
--- a/crates/coordination/src/scheduler/place.rs
+++ b/crates/coordination/src/scheduler/place.rs
@@ -52,6 +52,8 @@
     pub(super) prefer_fast: bool,
     /// The speed that the tasks demand, if work is placed by learnt speeds.
     pub(super) demand: Option<SpeedDemand>,
+    /// Whether suspect workers are used like any other.
+    pub(super) ignores_suspicion: bool,
 }
 
 impl PlacementRequest<'_> {
@@ -96,8 +98,12 @@
         candidate: &Candidate,
         available: &Resources,
     ) -> u32 {
-        self.fitting_tasks(candidate, available)
-            .min(candidate.max_tasks)
+        let fit = self.fitting_tasks(candidate, available);
+        if self.ignores_suspicion {
+            fit
+        } else {
+            fit.min(candidate.max_tasks)
+        }
     }
 
     /// Assigns `count` tasks, or returns `None` if they do not all fit. If the
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -315,6 +315,7 @@
             excluded_agents: &avoidance.agents,
             prefer_fast: group.priority == 0,
             demand: self.speed_demand(now, group, job),
+            ignores_suspicion: false,
         };
         let allow_spread = may_spread(now, group, &request, candidates);
         let assign = |request: &PlacementRequest,
@@ -344,6 +345,11 @@
             request.excluded_agents = agents;
             assignment = assign(&request, allow_spread);
         }
+        if assignment.is_empty() && avoidance.is_pressed_claim {
+            request.excluded_agents = &[];
+            request.ignores_suspicion = true;
+            assignment = assign(&request, allow_spread);
+        }
         let needs = step.needs;
         let demand = request.demand;
         let mut tasks = group.tasks.iter().copied();
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -227,21 +227,26 @@
                 excluded_agents: &avoidance.agents,
                 prefer_fast: group.priority == 0,
                 demand: None,
+                ignores_suspicion: false,
             },
             candidates,
             victims,
             mode,
             count: u32::try_from(pending.count()).unwrap_or(0),
         };
-        let options = search.options_for(now, group);
-        let Some(fallback) = &avoidance.fallback else {
-            return options;
-        };
-        if !options.is_empty() {
-            return options;
+        let mut options = search.options_for(now, group);
+        if options.is_empty()
+            && let Some(fallback) = &avoidance.fallback
+        {
+            search.request.excluded_agents = fallback;
+            options = search.options_for(now, group);
+        }
+        if options.is_empty() && avoidance.is_pressed_claim {
+            search.request.excluded_agents = &[];
+            search.request.ignores_suspicion = true;
+            options = search.options_for(now, group);
         }
-        search.request.excluded_agents = fallback;
-        search.options_for(now, group)
+        options
     }
 }
 
--- a/crates/coordination/tests/fleet/delay_cost.rs
+++ b/crates/coordination/tests/fleet/delay_cost.rs
@@ -196,6 +196,36 @@
     assert_no_violations(&sim, "a long overload");
 }
 
+// Guards against late work that never gets its turn, because a group that no
+// worker can run keeps it.
+#[test]
+fn a_group_that_no_worker_can_run_passes_its_turn_on() {
+    let mut sim = site(1);
+    let mut id = 100;
+    let mut feed = |sim: &mut Sim| {
+        id += 1;
+        let mut batch = unguaranteed(job(id, 1, 1, 8, 1000));
+        batch.target = Duration::from_mins(10);
+        sim.submit(batch);
+        sim.run(600);
+    };
+    for late in [1, 2] {
+        let mut batch = unguaranteed(job(late, 1, 1, 8, 1000));
+        batch.stretch = 0.5;
+        batch.target = Duration::ZERO;
+        if late == 1 {
+            batch.steps[0].requires = Some("missing".to_owned());
+        }
+        sim.submit(batch);
+        feed(&mut sim);
+    }
+    for _ in 0..80 {
+        feed(&mut sim);
+    }
+    assert_eq!(started_ms(&sim, 1), None);
+    assert!(started_ms(&sim, 2).is_some(), "it has had no turn");
+}
+
 // Guards against runs that are stopped for work which gains nothing.
 #[test]
 fn work_that_gains_nothing_preempts_nothing() {
--- a/crates/coordination/tests/fleet/worker_health.rs
+++ b/crates/coordination/tests/fleet/worker_health.rs
@@ -454,3 +454,33 @@
     suspicions.dedup_by_key(|d| d.split(' ').next().map(str::to_owned));
     assert!((1..=3).contains(&suspicions.len()), "{suspicions:?}");
 }
+
+// Guards against a claim that misses its time limit because all workers that it
+// fits on are suspect, while most workers of the site are not.
+#[test]
+fn a_claim_that_fits_only_on_a_suspect_worker_starts_in_time() {
+    const MAX_CLAIM_MS: u64 = 2700;
+    // The fourth worker has a rack of its own, and so a label of its own.
+    let requires = Some("rack-1".to_owned());
+    let mut sim = Sim::with_features(4, 1, HEALTH);
+    sim.run(300);
+    set_fails_starts(&mut sim, &["agent-03"], true);
+    let mut failing = job(1, 1, 1, 1, 600);
+    failing.steps[0].requires.clone_from(&requires);
+    failing.attempts = 1;
+    sim.submit(failing);
+    let is_suspect = |s: &Sim| !details(s, Code::WorkerQuarantined).is_empty();
+    assert!(sim.run_until(1000, is_suspect), "{:?}", sim.pool.trace);
+    set_fails_starts(&mut sim, &["agent-03"], false);
+    let mut claim = gang(job(2, 0, 1, 8, 500));
+    claim.steps[0].requires = requires;
+    sim.submit(claim);
+    let has_started =
+        |s: &Sim| !agents_of_job(s, "0000000000000002").is_empty();
+    assert!(
+        sim.run_until(MAX_CLAIM_MS, has_started),
+        "{:?}",
+        sim.pool.trace
+    );
+    assert_no_violations(&sim, "a claim on a suspect worker");
+}
