--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -50,6 +50,7 @@
 mod reclaim;
 mod reports;
 mod speed;
+mod task_group;
 mod victims;
 mod watch;
 mod worker;
--- a/crates/coordination/src/scheduler/avoidance.rs
+++ b/crates/coordination/src/scheduler/avoidance.rs
@@ -15,7 +15,7 @@
     Now, Scheduler,
     job::{FailedRun, Job},
     place::{Candidate, PlacementRequest},
-    plan::TaskGroup,
+    task_group::TaskGroup,
 };
 
 /// How long a task avoids a worker on which it failed.
--- a/crates/coordination/src/scheduler/delay_order.rs
+++ b/crates/coordination/src/scheduler/delay_order.rs
@@ -3,7 +3,7 @@
 use super::{
     Now, Scheduler,
     cost::{Lateness, turns::Waiting},
-    plan::TaskGroup,
+    task_group::TaskGroup,
 };
 
 impl Scheduler {
--- a/crates/coordination/src/scheduler/orphans.rs
+++ b/crates/coordination/src/scheduler/orphans.rs
@@ -5,7 +5,7 @@
 
 use figrill_state::{batch::TaskId, event::Code, runner::Snapshot};
 
-use super::{Now, Scheduler, message::ToAgent, plan::TaskGroup};
+use super::{Now, Scheduler, message::ToAgent, task_group::TaskGroup};
 
 impl Scheduler {
     /// Stops runs without a placement. They count against the resources of
--- a/crates/coordination/src/scheduler/pace.rs
+++ b/crates/coordination/src/scheduler/pace.rs
@@ -13,8 +13,8 @@
     Action, Now, Scheduler,
     job::Job,
     place::{Band, SpeedDemand},
-    plan::TaskGroup,
     speed::{Observation, SpeedChange, Work},
+    task_group::TaskGroup,
 };
 
 /// The time from the placement of tasks until they run: a commit and the
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -20,11 +20,9 @@
 
 use super::{
     Now, Scheduler,
-    avoidance::{self, FailureHistory},
-    cost::Demand,
     job::Job,
     place::{Assignment, Candidate, PlacementRequest, SpeedDemand, scaled},
-    victims::cores,
+    task_group::{GroupContext, TaskGroup, add_groups},
 };
 
 /// How long a group waits before capacity is freed or reserved for it, unless
@@ -42,70 +40,6 @@
 /// The site is crowded while less than one in this many accelerators is free.
 const CROWDED_FREE_DIVISOR: u64 = 3;
 
-/// The tasks of one step and occurrence that wait to be placed.
-#[derive(Clone, Debug)]
-pub(super) struct TaskGroup {
-    pub(super) tasks: Vec<TaskId>,
-    pub(super) gang: bool,
-    pub(super) priority: u32,
-    /// When the group became ready to be placed.
-    pub(super) ready_at: Duration,
-    /// When it has to end to meet its deadline, in milliseconds since 1970.
-    pub(super) due_ms: u64,
-    /// Whether its job is a claim, which means that it fits into its
-    /// workspace's guarantee.
-    pub(super) claim: bool,
-    /// How long its job may wait and still meet its deadline, if its estimate
-    /// is right.
-    pub(super) slack: Duration,
-    /// How long it waits for capacity on one rack, if it is bound to one,
-    /// before it is spread over several.
-    pub(super) max_rack_wait: Duration,
-    /// How its tasks have failed so far.
-    pub(super) history: FailureHistory,
-    /// When it has to start to meet its deadline, in milliseconds since 1970.
-    pub(super) latest_start_ms: u64,
-    /// What the cost of its delay depends on.
-    pub(super) demand: Demand,
-    /// Whether it is late and goes before others, because it would starve
-    /// otherwise.
-    pub(super) has_turn: bool,
-}
-
-/// What the groups of a job are built from, besides the job itself.
-#[derive(Clone, Copy)]
-struct GroupContext {
-    now: Now,
-    claim: bool,
-    /// The assumed minimum run time of tasks of the job's queue, from the
-    /// run times of earlier ones.
-    typical_duration: Duration,
-    /// The maximum time that a claim waits for capacity on one rack.
-    max_claim_rack_wait: Duration,
-    /// How long other gangs wait for capacity on one rack, as a multiple of
-    /// their expected duration.
-    rack_patience: f64,
-    /// Whether tasks avoid the workers on which they failed.
-    worker_health: bool,
-}
-
-impl TaskGroup {
-    /// Returns the first task, which represents all: they have the same
-    /// needs.
-    pub(super) fn first(&self) -> TaskId {
-        self.tasks[0]
-    }
-
-    pub(super) fn count(&self) -> u32 {
-        u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
-    }
-
-    /// Returns the time until its deadline; zero if that has passed.
-    pub(super) fn time_left(&self, now: Now) -> Duration {
-        Duration::from_millis(self.due_ms.saturating_sub(now.wall_ms))
-    }
-}
-
 impl Scheduler {
     /// Places waiting tasks in order. For those that do not fit, preempts runs
     /// or reserves capacity: at once or once they have waited for
@@ -466,76 +400,3 @@
     waited >= group.max_rack_wait
         || !request.fits_on_one_rack(candidates, group.count())
 }
-
-/// Adds the groups of one occurrence of a job to `groups`. A gang is only
-/// added when all its members wait to be placed.
-fn add_groups(
-    job: &mut Job,
-    occurrence: u32,
-    cx: GroupContext,
-    groups: &mut Vec<TaskGroup>,
-) {
-    let steps = u32::try_from(job.batch.steps.len()).unwrap_or(0);
-    for step in 0..steps {
-        if !job.is_step_unblocked(occurrence, step) {
-            continue;
-        }
-        let gang = job.batch.steps[step as usize].gang;
-        let all: Vec<TaskId> = job.tasks_of(occurrence, step).collect();
-        let is_pending = |task: &TaskId| {
-            let done = job.task(*task).is_some_and(|t| t.done);
-            !done && !job.runs.contains_key(task)
-        };
-        let tasks: Vec<TaskId> =
-            all.iter().copied().filter(is_pending).collect();
-        if tasks.is_empty() || gang && tasks.len() < all.len() {
-            continue;
-        }
-        let key = (occurrence, step);
-        let ready_at = *job.ready_at.entry(key).or_insert(cx.now.monotonic);
-        let estimate = job.batch.steps[step as usize].estimate_ms;
-        let expected_duration =
-            Duration::from_millis(estimate).max(cx.typical_duration);
-        let max_rack_wait = if cx.claim {
-            expected_duration.min(cx.max_claim_rack_wait)
-        } else {
-            expected_duration.mul_f64(cx.rack_patience)
-        };
-        let needs = job.batch.steps[step as usize].needs;
-        let count = f64::from(u32::try_from(tasks.len()).unwrap_or(u32::MAX));
-        for task in &tasks {
-            // Creates the progress of the task, which placement relies on.
-            job.task_mut(*task);
-        }
-        let due_ms = job.due_ms(occurrence);
-        let expected_ms =
-            u64::try_from(expected_duration.as_millis()).unwrap_or(u64::MAX);
-        let group = TaskGroup {
-            tasks,
-            gang,
-            priority: job.batch.priority,
-            ready_at,
-            due_ms,
-            claim: cx.claim,
-            slack: job.slack(cx.typical_duration),
-            max_rack_wait,
-            history: FailureHistory::default(),
-            latest_start_ms: due_ms.saturating_sub(expected_ms),
-            demand: Demand {
-                priority: job.batch.priority,
-                claim: cx.claim,
-                work: cores(&needs) * expected_duration.as_secs_f64() * count,
-                value_rate: job.value_rate,
-                expected: expected_duration + job.time_after_step(step),
-                accepted_ms: job.allowed_from_ms(occurrence),
-                due_ms: job.due_ms(occurrence),
-            },
-            has_turn: false,
-        };
-        if cx.worker_health {
-            groups.extend(avoidance::split(cx.now, job, group));
-        } else {
-            groups.push(group);
-        }
-    }
-}
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -19,7 +19,8 @@
 use super::{
     Now, Scheduler,
     place::{Candidate, PlacementRequest, scaled},
-    plan::{TaskGroup, tasks_by_agent},
+    plan::tasks_by_agent,
+    task_group::TaskGroup,
     victims::{GangKey, Victim, Victims, cores},
 };
 
--- a/crates/coordination/src/scheduler/reclaim/by_value.rs
+++ b/crates/coordination/src/scheduler/reclaim/by_value.rs
@@ -14,7 +14,7 @@
         Now, Scheduler,
         cost::{Balance, Decline, Demand},
         place::Candidate,
-        plan::TaskGroup,
+        task_group::TaskGroup,
         victims::{Victim, Victims, gang_key},
     },
     CapacityOption, FreeingMode, PreemptionPolicy, Pricing, stopped_victims,
--- a/crates/coordination/src/scheduler/reclaim/search.rs
+++ b/crates/coordination/src/scheduler/reclaim/search.rs
@@ -9,7 +9,8 @@
     super::{
         Now,
         place::{Candidate, PlacementRequest},
-        plan::{TaskGroup, may_spread},
+        plan::may_spread,
+        task_group::TaskGroup,
     },
     GangKey, Victim, Victims,
 };
