--- a/review/second/src/cases.rs
+++ b/review/second/src/cases.rs
@@ -7,7 +7,7 @@
 mod blocked;
 mod gang;
 mod moved;
-mod racks;
+mod steps;
 mod timed;
 
 /// Runs the case with a name.
@@ -20,7 +20,7 @@
         "blocked" => blocked::run(trouble, record),
         "gang" => gang::run(trouble, record),
         "moved" => moved::run(trouble, record),
-        "racks" => racks::run(trouble, record),
+        "steps" => steps::run(trouble, record),
         "timed" => timed::run(trouble, record),
         other => Err(format!("there is no case {other:?}").into()),
     }
--- a/review/second/src/cases/gang.rs
+++ b/review/second/src/cases/gang.rs
@@ -26,7 +26,7 @@
     let site = Deployment::start(record, 2, &[WORKER; 8], &manifest())?;
     site.wait_until_serving("q", 1, 8)?;
     let gang = Tasks {
-        count: if trouble { 700 } else { 300 },
+        count: if trouble { 1000 } else { 300 },
         cpu_milli: 10,
         duration_ms: 2000,
         gang: true,
