--- a/review/second/src/cases.rs
+++ b/review/second/src/cases.rs
@@ -36,7 +36,7 @@
             route("low", "svc", 2),
         ],
         "services": [{"name": "svc"}],
-        "limits": {},
+        "limits": limits(),
         "tenants": tenants(),
     })
 }
@@ -55,6 +55,16 @@
     })
 }
 
+/// Returns the limits that the platform's manifests have.
+fn limits() -> Value {
+    json!({
+        "max_header_bytes": 16384,
+        "max_body_bytes": 262_144,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    })
+}
+
 fn tenants() -> Value {
     json!([{
         "name": "a",
--- a/review/second/src/cases/moved.rs
+++ b/review/second/src/cases/moved.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use super::{Tasks, job, route, tenants};
+use super::{Tasks, job, limits, route, tenants};
 use crate::{
     Verdict,
     deployment::{CaseError, Deployment, WorkerPlan, wait_until},
@@ -40,7 +40,7 @@
             route("new", NEW.service, 1),
         ],
         "services": [{"name": FORMER.service}, {"name": NEW.service}],
-        "limits": {},
+        "limits": limits(),
         "tenants": tenants(),
     })
 }
--- a/review/second/src/cases/steps.rs
+++ b/review/second/src/cases/steps.rs
@@ -17,7 +17,7 @@
 const SMALL_JOB: u64 = 0x54a1_0000_0000_0001;
 
 /// The number of large jobs that come at once.
-const LARGE_JOBS: u64 = 6;
+const LARGE_JOBS: u64 = 12;
 
 const WORKER: WorkerPlan = WorkerPlan {
     service: "svc",
@@ -27,24 +27,21 @@
 /// The time limit for a job to start on free workers.
 const START_LIMIT: Duration = Duration::from_secs(5);
 
+/// `max_body_bytes` in the manifests of the platform.
+const MAX_BODY_BYTES: usize = 262_144;
+
 /// The time from the large jobs to the small one.
 const PAUSE: Duration = Duration::from_secs(4);
 
 /// Returns a job of two stages. Each step of the second one comes after all
 /// steps of the first one, and all have one task.
 fn two_stages(first: usize, second: usize) -> Value {
-    let step = json!({
-        "count": 1,
-        "cpu": 1000,
-        "mem_mb": 100,
-        "gpu": 8,
-        "estimate_ms": 1000,
-    });
+    let step = json!({"count": 1, "cpu": 500, "gpu": 8, "estimate_ms": 900});
     let mut later = step.clone();
     later["after"] = (0..first).collect();
     let mut steps = vec![step; first];
     steps.extend(vec![later; second]);
-    json!({"spec": "ms=1000 cpu=1000 mem=100 gpu=8", "steps": steps})
+    json!({"spec": "ms=1000 cpu=500 gpu=8", "steps": steps})
 }
 
 /// Runs the case.
@@ -64,10 +61,15 @@
         site.running(LONG_JOB) == 1
     })?;
     let large = if trouble {
-        two_stages(2000, 52)
+        two_stages(2000, 16)
     } else {
         two_stages(20, 5)
     };
+    let length = large.to_string().len();
+    if length > MAX_BODY_BYTES {
+        return Err(format!("the body has {length} bytes").into());
+    }
+    record.line(&format!("client: a large job has {length} bytes"));
     for id in FIRST_LARGE_JOB..FIRST_LARGE_JOB + LARGE_JOBS {
         site.submit_accepted("low", id, &large)?;
     }
