--- a/review/second/src/cases.rs
+++ b/review/second/src/cases.rs
@@ -5,8 +5,8 @@
 use crate::{Verdict, deployment::CaseError, record::Record};
 
 mod blocked;
-mod gang;
 mod moved;
+mod racks;
 mod steps;
 mod timed;
 
@@ -18,8 +18,8 @@
 ) -> Result<Verdict, CaseError> {
     match name {
         "blocked" => blocked::run(trouble, record),
-        "gang" => gang::run(trouble, record),
         "moved" => moved::run(trouble, record),
+        "racks" => racks::run(trouble, record),
         "steps" => steps::run(trouble, record),
         "timed" => timed::run(trouble, record),
         other => Err(format!("there is no case {other:?}").into()),
