--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 cd "$folder/../.." || exit 2
 program=target/review-2/release/figrill-review-2
 [ -x "$program" ] || exit 2
-exec "$program" moved "$folder"
+exec "$program" timed "$folder"
--- a/review/second/src/cases.rs
+++ b/review/second/src/cases.rs
@@ -6,7 +6,7 @@
 
 mod blocked;
 mod moved;
-mod racks;
+mod reborn;
 mod steps;
 mod timed;
 
@@ -19,7 +19,7 @@
     match name {
         "blocked" => blocked::run(trouble, record),
         "moved" => moved::run(trouble, record),
-        "racks" => racks::run(trouble, record),
+        "reborn" => reborn::run(trouble, record),
         "steps" => steps::run(trouble, record),
         "timed" => timed::run(trouble, record),
         other => Err(format!("there is no case {other:?}").into()),
