Keep starts and acknowledgements from being open together

Cause: an agent acknowledged ends while a start was without an answer, and started runs while an acknowledgement was. Whoever executes both can lose an end that nobody has read, and no later list shows it.

And while an acknowledgement is open, starts need a higher token, which the agent raises by itself. A worker whose list of ends is full gets no further task until there is room.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`term`], [`coordinator`] and [`agent`] are the state machines and
 //! [`message`] holds what they exchange. In the mode in which all scheduling
 //! state is kept in the platform's store, [`scheduler`], [`entries`],
-//! [`store_path`], [`orders`], [`registration`], [`fencing`] and [`campaign`]
+//! [`store_path`], [`orders`], [`open_calls`], [`registration`], [`fencing`] and [`campaign`]
 //! take their place, and [`retry_after`] says when refused callers return, by
 //! the [`outages`] of the store. [`learn`] estimates run times for both, and
 //! [`adoption`] tracks the revision of the settings that a process has in
@@ -30,6 +30,7 @@
 pub mod fencing;
 pub mod learn;
 pub mod message;
+pub mod open_calls;
 pub mod orders;
 pub mod outages;
 pub mod registration;
--- a/crates/coordination/src/registration.rs
+++ b/crates/coordination/src/registration.rs
@@ -256,6 +256,7 @@
             ) => true,
             Err(
                 RunnerError::Unanswered(_)
+                | RunnerError::Rejected(_)
                 | RunnerError::Malformed(_)
                 | RunnerError::Fenced,
             ) => {
@@ -349,6 +350,7 @@
                 now >= since + CRASH_TIMEOUT
             }
             RunnerError::Unanswered(_)
+            | RunnerError::Rejected(_)
             | RunnerError::Malformed(_)
             | RunnerError::Fenced => {
                 self.refused_since = None;
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -211,6 +211,9 @@
             .into_iter()
             .filter(|(_, w, _)| !quarantine_applies || !quarantined(w))
             .filter(|(_, w, _)| w.accepts_starts(now.monotonic))
+            // Further runs would end unseen, and an unanswered start would
+            // hold up the acknowledgement that makes room in the list.
+            .filter(|(_, w, _)| !w.ends_incomplete)
             .map(|(agent, worker, upstream)| Candidate {
                 agent: agent.clone(),
                 service: upstream.service.clone(),
--- a/crates/coordination/tests/fleet/given_up_starts.rs
+++ b/crates/coordination/tests/fleet/given_up_starts.rs
@@ -81,6 +81,33 @@
     }
 }
 
+// Guards against the same if the acknowledgement is not answered first. A
+// second one, after the start, is held up as well.
+#[test]
+fn a_late_start_after_a_late_acknowledgement_loses_no_end() {
+    for start_late_ms in (300..=1500).step_by(100) {
+        for hold_late_ms in (300..=1500).step_by(50) {
+            let mut sim = Sim::new(1, 1);
+            sim.run(500);
+            sim.submit(job(1, 1, 1, 8, 300));
+            assert!(sim.run_until(3000, Sim::all_ended));
+            let agent = sim.agent_of_first_order();
+            sim.held_up_acknowledgements_ms = vec![hold_late_ms; 2];
+            sim.submit(job(2, 1, 1, 8, 100));
+            sim.held_up_starts_ms = vec![start_late_ms; 3];
+            sim.run(400);
+            let now = sim.now_ms;
+            sim.pool.restart_upstream(now, &agent);
+            sim.set_reachable(&agent, false);
+            sim.run(2600);
+            sim.set_reachable(&agent, true);
+            let case = format!("{start_late_ms} ms, {hold_late_ms} ms late");
+            assert!(sim.run_until(30_000, Sim::all_ended), "{case}");
+            assert_no_violations(&sim, &case);
+        }
+    }
+}
+
 // Guards against a task that waits for calls that cannot arrive any more: its
 // run was listed long after all calls to start it were made.
 #[test]
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -74,6 +74,8 @@
     pub held_up_starts_ms: Vec<u64>,
     /// The same for the next calls of an agent to renew a lease.
     pub held_up_holds_ms: BTreeMap<String, u64>,
+    /// The same for the next calls of any agent that acknowledge ends.
+    pub held_up_acknowledgements_ms: Vec<u64>,
     /// The starts that the scheduler has sent: the time in milliseconds, and
     /// `TASK/RUN AGENT`.
     pub start_orders: Vec<(u64, String)>,
@@ -144,6 +146,7 @@
             paused: false,
             held_up_starts_ms: Vec::new(),
             held_up_holds_ms: BTreeMap::new(),
+            held_up_acknowledgements_ms: Vec::new(),
             start_orders: Vec::new(),
             worker_events: Vec::new(),
             quarantines: Vec::new(),
--- a/crates/coordination/tests/fleet/sim/agents.rs
+++ b/crates/coordination/tests/fleet/sim/agents.rs
@@ -2,6 +2,7 @@
 //! messages.
 
 use figrill_coordination::fencing::AgentFence;
+use figrill_coordination::open_calls::{OpenCalls, Permission};
 use figrill_coordination::orders::start_until_answered;
 use figrill_coordination::scheduler::message::{
     Grant, Report, StartResult, StopResult, ToAgent,
@@ -26,6 +27,8 @@
     /// The incarnation of its upstream that the agent knows.
     pub(super) registered: Option<Incarnation>,
     pub(super) next_renewal_ms: u64,
+    /// The calls to the upstream that may still be executed.
+    pub(super) open_calls: OpenCalls,
     /// The acknowledgement that it has passed on last.
     pub(super) acknowledged: u64,
     /// The term of the coordinator that it reports to.
@@ -118,6 +121,7 @@
     ) {
         let node = self.pool.nodes.get(name).filter(|n| n.reachable);
         if node.is_none_or(|n| n.upstream.draining) {
+            self.record_start_end(name, false);
             return;
         }
         self.learn_token(name, start.token, target);
@@ -136,6 +140,41 @@
                 answer
             }
         });
+        self.end_start(name, start, outcome);
+    }
+
+    /// Returns whether an agent may start a run now, and counts that it does.
+    pub(super) fn may_start(&mut self, name: &str, token: u64) -> bool {
+        let now = self.now().monotonic;
+        self.agents.get_mut(name).is_none_or(|agent| {
+            agent.open_calls.begin_start(now, token) == Permission::Granted
+        })
+    }
+
+    /// Ends a start at an agent, which reports the outcome.
+    pub(super) fn end_start(
+        &mut self,
+        name: &str,
+        start: &StartOrder,
+        outcome: StartOutcome,
+    ) {
+        self.record_start_end(name, outcome != StartOutcome::Unknown);
+        self.report_start(name, start, outcome);
+    }
+
+    fn record_start_end(&mut self, name: &str, answered: bool) {
+        let now = self.now().monotonic;
+        if let Some(agent) = self.agents.get_mut(name) {
+            agent.open_calls.end_start(now, answered);
+        }
+    }
+
+    pub(super) fn report_start(
+        &mut self,
+        name: &str,
+        start: &StartOrder,
+        outcome: StartOutcome,
+    ) {
         let report = Report {
             start_results: vec![StartResult {
                 task: start.task,
@@ -255,7 +294,34 @@
         }
     }
 
+    /// Ends an acknowledgement at an agent, if the call made one. After one
+    /// without an answer, the agent raises the fencing token.
+    fn end_acknowledgement(&mut self, name: &str, hold: Hold, answered: bool) {
+        let now = self.now().monotonic;
+        let Some(agent) = self.agents.get_mut(name) else {
+            return;
+        };
+        if hold.acknowledged == 0 {
+            return;
+        }
+        agent.open_calls.end_acknowledgement(answered);
+        if answered {
+            agent.acknowledged = hold.acknowledged;
+            return;
+        }
+        let token = agent.open_calls.required_token(now);
+        agent.fence.raise(token);
+        let node = self.pool.nodes.get(name);
+        let report = Report {
+            token,
+            upstream: node.map(|n| n.upstream.clone()),
+            ..Report::default()
+        };
+        self.send_report(name, report);
+    }
+
     fn renew_lease(&mut self, name: &str) {
+        let now = self.now().monotonic;
         let Some(agent) = self.agents.get_mut(name) else {
             return;
         };
@@ -269,19 +335,10 @@
         let registered = agent.registered.clone();
         let token = agent.fence.required_for(incarnation);
         let is_current = grant.upstream == *incarnation;
-        let last_acknowledged =
-            std::mem::replace(&mut agent.acknowledged, grant.acknowledged);
-        let acknowledges =
-            is_current && grant.acknowledged != last_acknowledged;
-        let hold = Hold {
-            token,
-            acknowledged: if acknowledges { grant.acknowledged } else { 0 },
-            deadline_ms: grant.deadline_ms.filter(|_| is_current),
-            ..Hold::default()
-        };
         if let Some(ended) = registered.filter(|r| r != incarnation) {
             // Another incarnation has answered. Its heartbeat follows.
             agent.registered = None;
+            agent.acknowledged = 0;
             let report = Report {
                 ended_incarnation: Some(ended),
                 ..Report::default()
@@ -289,7 +346,24 @@
             self.send_report(name, report);
             return;
         }
-        if let Some(late_ms) = self.lateness_of_hold(name) {
+        let is_due = is_current
+            && grant.acknowledged > 0
+            && grant.acknowledged != agent.acknowledged;
+        if !is_due {
+            agent.open_calls.withdraw_acknowledgement();
+        }
+        let acknowledges = is_due
+            && agent.open_calls.begin_acknowledgement(now, token)
+                == Permission::Granted;
+        let hold = Hold {
+            token,
+            acknowledged: if acknowledges { grant.acknowledged } else { 0 },
+            deadline_ms: grant.deadline_ms.filter(|_| is_current),
+            ..Hold::default()
+        };
+        let late_ms = self.lateness_of_hold(name, acknowledges);
+        self.end_acknowledgement(name, hold, late_ms.is_none());
+        if let Some(late_ms) = late_ms {
             let target = incarnation.clone();
             let message = Message::LateHold(
                 name.to_owned(),
--- a/crates/coordination/tests/fleet/sim/messages.rs
+++ b/crates/coordination/tests/fleet/sim/messages.rs
@@ -1,10 +1,10 @@
 //! Messages in flight between the coordinator, the agents and the store.
 
 use figrill_coordination::scheduler::Action;
-use figrill_coordination::scheduler::message::{Report, StartResult, ToAgent};
+use figrill_coordination::scheduler::message::{Report, ToAgent};
 use figrill_state::batch::Incarnation;
 use figrill_state::event::Code;
-use figrill_state::runner::{Hold, StartOrder, StartOutcome};
+use figrill_state::runner::{Hold, Refusal, StartOrder, StartOutcome};
 
 use super::{STEP_MS, Sim};
 
@@ -32,9 +32,16 @@
 pub(super) enum Message {
     /// From the coordinator to the named agent.
     ToAgent(String, ToAgent),
-    /// From the coordinator to the named agent: a start, with the number of
+    /// From the coordinator to the named agent: a start, and how late the
+    /// upstream executes each call for it that it does not answer, in
+    /// milliseconds.
+    StartOrder(String, Incarnation, StartOrder, Vec<u64>),
+    /// The answered call of the named agent to start a run, with the number of
     /// calls for it that were left unanswered.
     Start(String, Incarnation, StartOrder, usize),
+    /// The end of the named agent's last call to start a run, none of which
+    /// was answered.
+    StartUnanswered(String, StartOrder),
     /// A call of the named agent to start a run that is executed late; nobody
     /// waits for its answer.
     LateStart(String, Incarnation, StartOrder, Lateness),
@@ -92,47 +99,66 @@
         }
     }
 
-    /// Lets an agent call its upstream to start a run, and repeat the call
-    /// when it is not answered.
+    /// Sends an agent the order to start a run, with how late its upstream
+    /// will execute each call for it.
     fn send_start(
         &mut self,
         agent: &str,
         upstream: &Incarnation,
         start: &StartOrder,
     ) {
-        let (task, run) = (start.task, start.run);
-        let mut delay_ms = STEP_MS;
-        for (unanswered, timeout_ms) in
-            START_TIMEOUTS_MS.into_iter().enumerate()
+        let mut late_ms = Vec::new();
+        while late_ms.len() < START_TIMEOUTS_MS.len()
+            && let Some(ms) = self.lateness_of_start()
         {
-            let (agent, upstream) = (agent.to_owned(), upstream.clone());
-            let Some(late_ms) = self.lateness_of_start() else {
-                let start = start.clone();
-                let message =
-                    Message::Start(agent, upstream, start, unanswered);
-                self.send(delay_ms, message);
-                return;
-            };
-            self.send(
-                delay_ms + late_ms,
-                Message::LateStart(
-                    agent,
-                    upstream,
-                    start.clone(),
-                    Lateness(late_ms),
-                ),
+            late_ms.push(ms);
+        }
+        let (agent, upstream) = (agent.to_owned(), upstream.clone());
+        let message =
+            Message::StartOrder(agent, upstream, start.clone(), late_ms);
+        self.send(STEP_MS, message);
+    }
+
+    /// Lets an agent call its upstream to start a run, and repeat the call
+    /// when it is not answered, unless its fencing token is too low.
+    fn begin_start(
+        &mut self,
+        agent: &str,
+        upstream: &Incarnation,
+        start: &StartOrder,
+        late_ms: &[u64],
+    ) {
+        if !self.may_start(agent, start.token) {
+            self.report_start(
+                agent,
+                start,
+                StartOutcome::Refused(Refusal::Fenced),
             );
+            return;
+        }
+        let mut delay_ms = 0;
+        for (late_ms, timeout_ms) in late_ms.iter().zip(START_TIMEOUTS_MS) {
+            let message = Message::LateStart(
+                agent.to_owned(),
+                upstream.clone(),
+                start.clone(),
+                Lateness(*late_ms),
+            );
+            self.send(delay_ms + late_ms, message);
             delay_ms += timeout_ms;
         }
-        let outcome = StartOutcome::Unknown;
-        let report = Report {
-            start_results: vec![StartResult { task, run, outcome }],
-            ..Report::default()
+        let unanswered = late_ms.len();
+        let (agent, start) = (agent.to_owned(), start.clone());
+        let message = if unanswered < START_TIMEOUTS_MS.len() {
+            Message::Start(agent, upstream.clone(), start, unanswered)
+        } else {
+            Message::StartUnanswered(agent, start)
         };
-        self.send(
-            delay_ms,
-            Message::Report(agent.to_owned(), Box::new(report)),
-        );
+        if delay_ms == 0 {
+            self.deliver(self.token, message);
+        } else {
+            self.send(delay_ms, message);
+        }
     }
 
     /// Returns how late the next call to start a run is executed, in
@@ -147,7 +173,14 @@
 
     /// Returns how late an agent's next call to renew a lease is executed, in
     /// milliseconds; `None` if it is answered.
-    pub(super) fn lateness_of_hold(&mut self, agent: &str) -> Option<u64> {
+    pub(super) fn lateness_of_hold(
+        &mut self,
+        agent: &str,
+        acknowledges: bool,
+    ) -> Option<u64> {
+        if acknowledges && !self.held_up_acknowledgements_ms.is_empty() {
+            return Some(self.held_up_acknowledgements_ms.remove(0));
+        }
         if let Some(late_ms) = self.held_up_holds_ms.remove(agent) {
             return Some(late_ms);
         }
@@ -191,10 +224,16 @@
                 }
                 self.handle_at_agent(&agent, message);
             }
-            Message::Start(agent, upstream, start, unanswered) => {
+            Message::StartOrder(agent, upstream, start, late_ms) => {
                 if let Some(a) = self.agents.get_mut(&agent) {
                     a.record_term(token, start.token);
                 }
+                self.begin_start(&agent, &upstream, &start, &late_ms);
+            }
+            Message::StartUnanswered(agent, start) => {
+                self.end_start(&agent, &start, StartOutcome::Unknown);
+            }
+            Message::Start(agent, upstream, start, unanswered) => {
                 self.start_at_agent(&agent, &upstream, &start, unanswered);
             }
             Message::LateStart(agent, upstream, start, lateness)
--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -14,6 +14,7 @@
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use figrill_coordination::{
     fencing::AgentFence,
+    open_calls::OpenCalls,
     registration::Registration,
     scheduler::message::{Grant, Report, StartResult, ToAgent},
 };
@@ -73,7 +74,8 @@
     config: AgentConfig,
     journal: Journal,
     state: Mutex<State>,
-    /// Notified when a grant was stored or the registration has changed.
+    /// Notified when a grant was stored, the registration has changed, or a
+    /// start or an acknowledgement has ended.
     changed: Condvar,
     draining: Arc<AtomicBool>,
 }
@@ -84,6 +86,8 @@
     registration: Registration,
     /// The fencing token of calls to the upstream.
     fence: AgentFence,
+    /// The calls to the upstream that may still be executed.
+    open_calls: OpenCalls,
     /// The last grant, with the highest fencing token that was seen.
     grant: Grant,
     /// The stream to the coordinator with the highest fencing token.
--- a/crates/node/src/fleet/agent/fence.rs
+++ b/crates/node/src/fleet/agent/fence.rs
@@ -1,13 +1,19 @@
 //! The fencing tokens that an agent chooses by itself, when no coordinator has
 //! sent one that its upstream accepts.
 
+use figrill_coordination::scheduler::message::Report;
 use figrill_state::{
     batch::keys,
+    event::Code,
     kv::KvError,
     runner::{RunnerError, UpstreamState},
 };
+use figrill_transport::peer::Net;
 
-use super::{super::STORE_TIMEOUT, AgentContext, hold::probe};
+use super::{
+    super::STORE_TIMEOUT, AgentContext, hold::probe, send_report,
+    upstream::describe,
+};
 
 /// Handles that the registered upstream has refused a call with `token`: a call
 /// of an earlier process of this agent with a higher one has arrived since, or
@@ -56,6 +62,27 @@
     probe(cx, upstream, token).map(|()| token)
 }
 
+/// Makes all further calls to the registered upstream with at least `token`,
+/// and tells the coordinator, whose orders need it as well.
+pub(super) fn raise_token(cx: &AgentContext, net: &Net, token: u64) {
+    {
+        let mut state = cx.lock();
+        if token <= state.fence.token() {
+            return;
+        }
+        state.fence.raise(token);
+        let upstream = state.registration.current().map(describe);
+        let upstream = upstream.unwrap_or_default();
+        let detail = format!("upstream={upstream} token={token}");
+        cx.journal.record_event(Code::UpstreamFenced, detail);
+    }
+    let report = Report {
+        token,
+        ..Report::default()
+    };
+    send_report(cx, net, report);
+}
+
 /// Returns the present revision of the store.
 pub(super) fn store_revision(cx: &AgentContext) -> Result<u64, KvError> {
     let key = keys::agent(&cx.config.deployment.name);
--- a/crates/node/src/fleet/agent/hold.rs
+++ b/crates/node/src/fleet/agent/hold.rs
@@ -4,7 +4,10 @@
 
 use std::{thread, time::Duration};
 
-use figrill_coordination::scheduler::message::{Grant, Report};
+use figrill_coordination::{
+    open_calls::Permission,
+    scheduler::message::{Grant, Report},
+};
 use figrill_state::{
     batch::Incarnation,
     event::Code,
@@ -14,7 +17,9 @@
 
 use super::{
     AgentContext, HEARTBEAT_INTERVAL, POLL_INTERVAL, State,
-    fence::handle_refused_token, report, send_report, upstream::describe,
+    fence::{handle_refused_token, raise_token},
+    report, send_report,
+    upstream::describe,
 };
 
 /// The maximum wait of a hold call for a run to end while runs are active.
@@ -28,6 +33,9 @@
 /// the same ends again at once.
 const ACK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The maximum interval of hold calls while an acknowledgement is held back.
+const HELD_BACK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The delay before a failed hold call is retried.
 const HOLD_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -107,14 +115,20 @@
             wait_for_change(cx, HEARTBEAT_INTERVAL);
             continue;
         };
-        let hold = poll.next_hold(&upstream.incarnation, &grant, token);
-        match hold_incarnation(cx, &upstream, hold) {
+        let due = poll.next_hold(&upstream.incarnation, &grant, token);
+        let hold = begin_acknowledgement(cx, due);
+        let result = hold_incarnation(cx, &upstream, hold);
+        end_acknowledgement(cx, net, hold, &result);
+        match result {
             Ok(snapshot) => {
                 cx.lock().registration.record_answer();
                 poll.record_answer(upstream.incarnation, hold, &snapshot);
                 let last_end = snapshot.ended.last().map_or(0, |e| e.number);
                 send_snapshot(cx, net, token, snapshot);
                 wait_for_coordinator(cx, last_end, &grant);
+                if hold.acknowledged < due.acknowledged {
+                    wait_for_starts(cx);
+                }
             }
             Err(e) => {
                 poll.incarnation = None;
@@ -135,6 +149,62 @@
     }
 }
 
+/// Leaves the acknowledgement out of a hold call if it may not be made now,
+/// and begins it otherwise.
+fn begin_acknowledgement(cx: &AgentContext, hold: Hold) -> Hold {
+    let mut state = cx.lock();
+    if hold.acknowledged == 0 {
+        state.open_calls.withdraw_acknowledgement();
+        return hold;
+    }
+    let now = cx.config.clock.now();
+    let permission = state.open_calls.begin_acknowledgement(now, hold.token);
+    if permission == Permission::Granted {
+        return hold;
+    }
+    Hold {
+        acknowledged: 0,
+        ..hold
+    }
+}
+
+/// Records how a hold call has ended, if it acknowledged ends. Calls that
+/// follow one without an answer need a higher fencing token.
+fn end_acknowledgement(
+    cx: &AgentContext,
+    net: &Net,
+    hold: Hold,
+    result: &Result<Snapshot, RunnerError>,
+) {
+    if hold.acknowledged == 0 {
+        return;
+    }
+    let answered = !matches!(
+        result,
+        Err(RunnerError::Unanswered(_) | RunnerError::Malformed(_))
+    );
+    let required = {
+        let mut state = cx.lock();
+        state.open_calls.end_acknowledgement(answered);
+        state.open_calls.required_token(cx.config.clock.now())
+    };
+    cx.changed.notify_all();
+    raise_token(cx, net, required);
+}
+
+/// Waits a moment after a call whose acknowledgement was held back. The
+/// upstream answers the next call at once, because it still lists these ends.
+fn wait_for_starts(cx: &AgentContext) {
+    let state = cx.lock();
+    let now = || cx.config.clock.now();
+    drop(
+        cx.changed
+            .wait_timeout_while(state, HELD_BACK_INTERVAL, |s| {
+                !s.open_calls.may_acknowledge(now())
+            }),
+    );
+}
+
 /// Makes a hold call. An answer of another incarnation with the same id counts
 /// as a failure.
 fn hold_incarnation(
--- a/crates/node/src/fleet/agent/orders.rs
+++ b/crates/node/src/fleet/agent/orders.rs
@@ -1,8 +1,9 @@
 //! Carries out the starts and stops that the coordinator orders.
 
-use std::sync::atomic::Ordering;
+use std::sync::{PoisonError, atomic::Ordering};
 
 use figrill_coordination::{
+    open_calls::{ANSWER_TIMEOUT, LATE_CALL_WINDOW, Permission},
     orders::{start_until_answered, stop_until_answered},
     scheduler::message::{Report, StartResult, StopResult, ToAgent},
 };
@@ -14,7 +15,7 @@
 };
 use figrill_transport::peer::Net;
 
-use super::{AgentContext, report, send_report};
+use super::{AgentContext, fence::raise_token, report, send_report};
 
 /// Carries out an order and reports the result to the coordinator.
 pub(super) fn execute_order(cx: &AgentContext, net: &Net, order: ToAgent) {
@@ -40,7 +41,7 @@
 ) {
     let started_at = cx.config.clock.now();
     let mut attempts = 0;
-    let outcome = start_or_refuse(cx, target, start, &mut attempts);
+    let outcome = start_or_refuse(cx, net, target, start, &mut attempts);
     let elapsed = cx.config.clock.now().saturating_sub(started_at);
     cx.journal.metrics.observe_time("start", elapsed);
     let detail = format!(
@@ -66,6 +67,7 @@
 /// runs. Counts the calls to the upstream in `attempts`.
 fn start_or_refuse(
     cx: &AgentContext,
+    net: &Net,
     target: &Incarnation,
     start: &StartOrder,
     attempts: &mut u32,
@@ -90,14 +92,65 @@
         Some(_) if cx.draining.load(Ordering::Relaxed) => {
             refused(Refusal::DeadlinePassed)
         }
-        Some(u) => start_until_answered(|timeout| {
-            *attempts += 1;
-            cx.config.runner.start(u, start, timeout)
-        }),
+        Some(_) if !begin_start(cx, net, start.token) => {
+            refused(Refusal::Fenced)
+        }
+        Some(u) => {
+            let outcome = start_until_answered(|timeout| {
+                *attempts += 1;
+                cx.config.runner.start(u, start, timeout)
+            });
+            end_start(cx, target, outcome);
+            outcome
+        }
         None => refused(Refusal::OtherIncarnation),
     }
 }
 
+/// Waits until a start may be made, and begins it. Returns `false` if its
+/// fencing token is too low, because an acknowledgement was not answered or
+/// takes too long; the coordinator's next orders have a higher one.
+fn begin_start(cx: &AgentContext, net: &Net, token: u64) -> bool {
+    let mut state = cx.lock();
+    let mut now = cx.config.clock.now();
+    let wait_until = now + ANSWER_TIMEOUT;
+    while state.open_calls.begin_start(now, token) != Permission::Granted {
+        let required = state.open_calls.required_token(now);
+        if token < required {
+            drop(state);
+            raise_token(cx, net, required);
+            return false;
+        }
+        let left = wait_until.saturating_sub(now);
+        if left.is_zero() {
+            // An acknowledgement waits for a start that is not answered.
+            state.open_calls.withdraw_acknowledgement();
+        } else {
+            let result = cx.changed.wait_timeout(state, left);
+            state = result.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        now = cx.config.clock.now();
+    }
+    true
+}
+
+/// Records the end of a start.
+fn end_start(cx: &AgentContext, target: &Incarnation, outcome: StartOutcome) {
+    let answered = outcome != StartOutcome::Unknown;
+    let now = cx.config.clock.now();
+    cx.lock().open_calls.end_start(now, answered);
+    cx.changed.notify_all();
+    if !answered {
+        let detail = format!(
+            "upstream={} born={} for_ms={}",
+            target.id,
+            target.born_ms,
+            LATE_CALL_WINDOW.as_millis()
+        );
+        cx.journal.record_event(Code::AcknowledgementsHeld, detail);
+    }
+}
+
 fn execute_stop(
     cx: &AgentContext,
     net: &Net,
--- a/crates/state/src/runner.rs
+++ b/crates/state/src/runner.rs
@@ -198,6 +198,8 @@
     NotListening(String),
     /// no usable answer from the upstream: {0}
     Unanswered(String),
+    /// the upstream rejected the call and did nothing: status {0}
+    Rejected(u16),
     /// the upstream's answer is malformed: {0}
     Malformed(String),
     /// another incarnation of the upstream answered
--- a/tests/upstream_former_incarnation.rs
+++ b/tests/upstream_former_incarnation.rs
@@ -460,6 +460,45 @@
     assert_eq!(starts(&site, LONG_JOB).len(), 1);
 }
 
+/// How late an upstream carries out the calls that it leaves unanswered.
+const LATENESS: Duration = Duration::from_millis(2500);
+
+/// The time in which an agent makes all calls to start a run.
+const ORDER_TIME: Duration = Duration::from_millis(1300);
+
+/// The time for which an upstream is cut off after it has started again. All
+/// late calls are carried out within it.
+const CUT_TIME: Duration = Duration::from_millis(3500);
+
+// Guards against a done task that starts again: the next incarnation, which is
+// cut off, begins it by a late start, and then forgets its end by a late
+// acknowledgement.
+#[test]
+fn a_late_start_beside_late_acknowledgements_is_no_second_run() {
+    let site = start_site(1, 1);
+    wait_for_age(&site, YOUNG_AGE_MS);
+    let name = site.agents[0].name.clone();
+    let late = |starts| Delay {
+        starts,
+        acknowledgements: Share::All,
+        duration: Some(LATENESS),
+        ..Delay::default()
+    };
+    site.workers.delay_calls(&name, Some(late(Share::None)));
+    submit(&site, FORMER_JOB, &job(1, 1, 600, false));
+    site.wait_for_state(0, FORMER_JOB, "done", WAIT_LIMIT);
+    site.workers.delay_calls(&name, Some(late(Share::All)));
+    submit(&site, LONG_JOB, &job(1, 1, 100, false));
+    thread::sleep(ORDER_TIME);
+    site.workers.end_silently(&name);
+    site.workers.delay_calls(&name, None);
+    thread::sleep(SILENCE / 2);
+    site.workers.start_after_silence(&name, false);
+    thread::sleep(CUT_TIME);
+    set_reachable(&site, &name, true);
+    assert_not_twice(&site, 0, &[LONG_JOB], ELSEWHERE_LIMIT);
+}
+
 /// Returns a site of one upstream that has done the task of a job, and the
 /// agent's name. The first attempt to start the task is still held up, and the
 /// coordinator is frozen.
