Hold back acknowledgements and starts after the restart of an agent

In the model, a restarted agent acknowledged an end while a start of its former process was open, and started a run with the token of an open acknowledgement; the next incarnation executed both, and a task that was done ran again.

Now the coordinator, which knows which starts it ordered and got no answer to, acknowledges no further ends after a connection of the agent while one may be executed. And an agent takes the token of the first message that names an incarnation, so that a former process has called it, for the token of an open acknowledgement: it registers the upstream with a higher one.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -306,9 +306,15 @@
         self.workspaces = workspaces;
     }
 
-    /// Handles a new connection to an agent. Sends it the fencing token at
-    /// once.
+    /// Handles a new connection to an agent, which may have restarted. Sends
+    /// it the fencing token at once.
     pub fn agent_connected(&mut self, agent: &str) {
+        let runs = self.jobs.values().flat_map(|j| j.runs.values());
+        let of_agent = runs.filter(|r| r.agent == agent);
+        let open_until = of_agent.map(job::Run::open_until).max();
+        if let Some(worker) = self.workers.get_mut(agent) {
+            worker.hold_acknowledgements(open_until.unwrap_or_default());
+        }
         self.send_token(agent);
     }
 
--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -233,7 +233,7 @@
             }
         }
         for agent in agents {
-            self.send_acknowledgement(&agent);
+            self.send_acknowledgement(now, &agent);
         }
         for id in commit.jobs {
             self.order_starts(now, id, number);
@@ -299,7 +299,7 @@
     }
 
     /// Sends an agent the number up to which its ends of runs are committed.
-    fn send_acknowledgement(&mut self, agent: &str) {
+    fn send_acknowledgement(&mut self, now: Now, agent: &str) {
         let token = self.order_token(agent);
         let Some(worker) = self.workers.get(agent) else {
             return;
@@ -311,7 +311,7 @@
             token,
             upstream,
             deadline_ms: None,
-            acknowledged: worker.acknowledged(),
+            acknowledged: worker.acknowledgement(now.monotonic),
         };
         self.send(agent, ToAgent::Grant(grant));
     }
--- a/crates/coordination/src/scheduler/endings.rs
+++ b/crates/coordination/src/scheduler/endings.rs
@@ -31,6 +31,7 @@
         }
         if let Some(worker) = self.workers.get_mut(&run.agent) {
             worker.allocations.remove(&id);
+            worker.record_open_start(run.open_until());
         }
         self.learnt_speeds.end(id);
         self.dirty.insert(id.job);
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -9,6 +9,7 @@
 };
 
 use super::START_WINDOW;
+use crate::open_calls::LATE_CALL_WINDOW;
 
 /// The phase of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -142,6 +143,18 @@
             && self.ordered_at.is_some_and(is_recent)
     }
 
+    /// Returns until when a call to start the run that this coordinator has
+    /// ordered may be executed although nobody knows its answer; zero if there
+    /// is none.
+    pub(super) fn open_until(&self) -> Duration {
+        if self.is_answered || self.is_adopted {
+            return Duration::ZERO;
+        }
+        let ordered_at = self.ordered_at;
+        ordered_at
+            .map_or(Duration::ZERO, |at| at + START_WINDOW + LATE_CALL_WINDOW)
+    }
+
     /// Returns whether no call to start the run is on its way any more. The
     /// answers to calls that an earlier coordinator has ordered are not known.
     pub(super) fn calls_have_ended(&self, now: Duration) -> bool {
--- a/crates/coordination/src/scheduler/reports.rs
+++ b/crates/coordination/src/scheduler/reports.rs
@@ -117,6 +117,7 @@
             }
             StartOutcome::Unknown => {}
             StartOutcome::Refused(refusal) => {
+                run.is_answered = true;
                 if !run.phase.awaits_start() {
                     return;
                 }
@@ -456,7 +457,7 @@
             token,
             upstream,
             deadline_ms: Some(clock_ms + duration_ms),
-            acknowledged: worker.acknowledged(),
+            acknowledged: worker.acknowledgement(now.monotonic),
         };
         self.send(agent, ToAgent::Grant(grant));
     }
--- a/crates/coordination/src/scheduler/worker.rs
+++ b/crates/coordination/src/scheduler/worker.rs
@@ -90,6 +90,13 @@
     pub(super) ends_incomplete: bool,
     /// Ends that were processed but are not committed yet, by number.
     pub(super) uncommitted_ends: BTreeMap<u64, BatchId>,
+    /// Until when a start whose answer is not known may be executed. It was
+    /// ordered in this term, and its run has been released.
+    starts_open_until: Duration,
+    /// Until when [`Self::held_acknowledgement`] is not exceeded.
+    acknowledgements_held_until: Duration,
+    /// The acknowledgement when the agent last connected.
+    held_acknowledgement: u64,
     /// When the remaining time of a draining upstream was last reported.
     pub(super) drain_reported_at: Option<Duration>,
     /// The results within [`RESULT_WINDOW`]: time, job and result.
@@ -182,6 +189,7 @@
         self.last_end_number = 0;
         self.ends_incomplete = false;
         self.uncommitted_ends.clear();
+        self.held_acknowledgement = 0;
         self.orphans.clear();
         self.drain_reported_at = None;
     }
@@ -224,6 +232,30 @@
         first.map_or(self.last_end_number, |(number, _)| number - 1)
     }
 
+    /// Records that a start whose answer is not known may be executed until
+    /// `until`.
+    pub(super) fn record_open_start(&mut self, until: Duration) {
+        self.starts_open_until = self.starts_open_until.max(until);
+    }
+
+    /// Handles a connection of its agent, which may have restarted and does not
+    /// know then which starts are open: those of released runs, and others
+    /// until `open_until`. No further ends are acknowledged meanwhile.
+    pub(super) fn hold_acknowledgements(&mut self, open_until: Duration) {
+        self.record_open_start(open_until);
+        self.acknowledgements_held_until = self.starts_open_until;
+        self.held_acknowledgement = self.acknowledged();
+    }
+
+    /// Returns the number up to which the agent may acknowledge ends now.
+    pub(super) fn acknowledgement(&self, now: Duration) -> u64 {
+        if now < self.acknowledgements_held_until {
+            self.held_acknowledgement
+        } else {
+            self.acknowledged()
+        }
+    }
+
     /// Records the result of a run. Quarantines the worker after a stuck run,
     /// or when runs of at least [`QUARANTINE_FAILED_JOBS`] jobs failed or got
     /// stuck and these runs outnumber the successful ones. Returns whether it
--- a/crates/coordination/tests/fleet/given_up_starts.rs
+++ b/crates/coordination/tests/fleet/given_up_starts.rs
@@ -96,14 +96,68 @@
             sim.submit(job(2, 1, 1, 8, 100));
             sim.held_up_starts_ms = vec![start_late_ms; 3];
             sim.run(400);
-            let now = sim.now_ms;
-            sim.pool.restart_upstream(now, &agent);
-            sim.set_reachable(&agent, false);
-            sim.run(2600);
-            sim.set_reachable(&agent, true);
             let case = format!("{start_late_ms} ms, {hold_late_ms} ms late");
-            assert!(sim.run_until(30_000, Sim::all_ended), "{case}");
-            assert_no_violations(&sim, &case);
+            check_restart_behind_a_cut(&mut sim, &agent, &case);
+        }
+    }
+}
+
+/// Restarts the only upstream behind a cut of 2.6 s, and checks that no task
+/// runs twice in the end.
+fn check_restart_behind_a_cut(sim: &mut Sim, agent: &str, case: &str) {
+    let now = sim.now_ms;
+    sim.pool.restart_upstream(now, agent);
+    sim.set_reachable(agent, false);
+    sim.run(2600);
+    sim.set_reachable(agent, true);
+    assert!(sim.run_until(30_000, Sim::all_ended), "{case}");
+    assert_no_violations(sim, case);
+}
+
+// Guards against an agent that does not know that a start of its former process
+// is open, and acknowledges the end of another run.
+#[test]
+fn a_restarted_agent_acknowledges_nothing_while_a_former_start_is_open() {
+    for start_late_ms in (800..=1500).step_by(50) {
+        for hold_late_ms in (300..=1500).step_by(50) {
+            let mut sim = Sim::new(1, 1);
+            sim.run(500);
+            sim.submit(job(1, 1, 1, 1, 600));
+            assert!(sim.run_until(500, |s| count_events(s, "start") == 1));
+            let agent = sim.agent_of_first_order();
+            sim.held_up_starts_ms = vec![start_late_ms];
+            sim.submit(job(2, 1, 1, 1, 100));
+            sim.run(100);
+            sim.restart_agent(&agent);
+            sim.held_up_acknowledgements_ms = vec![hold_late_ms];
+            sim.run(650);
+            let case = format!("{start_late_ms} ms, {hold_late_ms} ms late");
+            check_restart_behind_a_cut(&mut sim, &agent, &case);
+        }
+    }
+}
+
+// Guards against an agent that does not know that an acknowledgement of its
+// former process is open, and starts a run with the same token.
+#[test]
+fn a_restarted_agent_starts_nothing_that_a_former_acknowledgement_ends() {
+    for start_late_ms in (300..=1500).step_by(100) {
+        for hold_late_ms in (700..=1500).step_by(50) {
+            let mut sim = Sim::new(1, 1);
+            sim.run(500);
+            sim.submit(job(1, 1, 1, 1, 300));
+            sim.held_up_acknowledgements_ms = vec![hold_late_ms];
+            let acknowledges =
+                |s: &Sim| s.held_up_acknowledgements_ms.is_empty();
+            assert!(sim.run_until(3000, acknowledges));
+            let agent = sim.agent_of_first_order();
+            sim.restart_agent(&agent);
+            sim.run(50);
+            sim.held_up_starts_ms = vec![start_late_ms; 3];
+            sim.submit(job(2, 1, 1, 1, 100));
+            sim.run(250);
+            let case = format!("{start_late_ms} ms, {hold_late_ms} ms late");
+            check_restart_behind_a_cut(&mut sim, &agent, &case);
         }
     }
 }
--- a/crates/coordination/tests/fleet/sim/agents.rs
+++ b/crates/coordination/tests/fleet/sim/agents.rs
@@ -47,12 +47,36 @@
     /// Records the fencing token of a coordinator's message.
     fn record_token(&mut self, token: u64, target: &Incarnation) {
         let named = Some(target).filter(|i| **i != Incarnation::default());
+        if named.is_some() && self.fence.token() == 0 {
+            self.open_calls.record_unanswered(token);
+        }
         self.fence
             .record_grant(token, self.registered.as_ref(), named);
     }
 }
 
 impl Sim {
+    /// Replaces an agent's process, which connects to the coordinator.
+    pub fn restart_agent(&mut self, name: &str) {
+        let is_lost = |(_, _, message): &(u64, u64, Message)| match message {
+            Message::Report(agent, _)
+            | Message::Start(agent, ..)
+            | Message::StartUnanswered(agent, _) => agent == name,
+            _ => false,
+        };
+        self.in_flight.retain(|message| !is_lost(message));
+        let term = self.token;
+        self.agents.insert(
+            name.to_owned(),
+            Agent {
+                term,
+                ..Agent::default()
+            },
+        );
+        self.scheduler.agent_connected(name);
+        self.send_actions();
+    }
+
     /// Handles a coordinator's message at an agent, other than a start. The
     /// message is lost if the agent's upstream cannot be reached.
     pub(super) fn handle_at_agent(&mut self, name: &str, message: ToAgent) {
@@ -333,7 +357,8 @@
         };
         let incarnation = &upstream.incarnation;
         let registered = agent.registered.clone();
-        let token = agent.fence.required_for(incarnation);
+        let open = agent.open_calls.required_token(now);
+        let token = agent.fence.required_for(incarnation).max(open);
         let is_current = grant.upstream == *incarnation;
         if let Some(ended) = registered.filter(|r| r != incarnation) {
             // Another incarnation has answered. Its heartbeat follows.
--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -291,6 +291,14 @@
                 ..Grant::default()
             };
         }
+        if let Some(named) = named
+            && state.fence.token() == 0
+        {
+            // An earlier process of this agent has called that incarnation.
+            let detail = format!("upstream={} token={token}", named.id);
+            log::debug!("acknowledgements may be open: {detail}");
+            state.open_calls.record_unanswered(token);
+        }
         let registered = state.registration.current().cloned();
         let registered = registered.as_ref().map(|u| &u.incarnation);
         state.fence.record_grant(token, registered, named);
--- a/crates/node/src/fleet/agent/confirm.rs
+++ b/crates/node/src/fleet/agent/confirm.rs
@@ -146,7 +146,7 @@
         if !state.registration.is_free(ended) {
             return Some(seen);
         }
-        state.fence.required_for(&candidate.incarnation)
+        required_token(cx, &state, candidate)
     };
     if token <= seen {
         return Some(seen);
@@ -154,6 +154,18 @@
     probe(cx, candidate, token).ok().map(|()| token)
 }
 
+/// Returns the lowest fencing token that a candidate must have seen before it
+/// is registered: it then refuses calls for other incarnations, and
+/// acknowledgements that may be open.
+fn required_token(
+    cx: &AgentContext,
+    state: &State,
+    candidate: &UpstreamState,
+) -> u64 {
+    let open = state.open_calls.required_token(cx.config.clock.now());
+    state.fence.required_for(&candidate.incarnation).max(open)
+}
+
 /// Registers a candidate that answers as itself, or drops it. `seen` is the
 /// fencing token that it has seen if it answers, and `ended` the upstream in
 /// whose place it comes. If it has to be fenced first, it remains a candidate.
@@ -164,7 +176,7 @@
     ended: Option<&Incarnation>,
 ) {
     let mut state = cx.lock();
-    let required = state.fence.required_for(&candidate.incarnation);
+    let required = required_token(cx, &state, candidate);
     let is_fenced = seen.is_none_or(|token| token >= required);
     if state.registration.is_free(ended) && !is_fenced {
         return;
