Take an optional setting with an unfilled placeholder for absent

What operators saw: an entry did not start on a platform that knows fewer names than the template of its settings: "domain_drain_ms: write a number".

An optional setting whose value is still a placeholder now counts as absent, as an empty one does, with one warning line at the start. A required one is an error that names the placeholder; until now `name = {{node}}` was taken for a name.

--- a/crates/core/commands/role.rs
+++ b/crates/core/commands/role.rs
@@ -87,6 +87,9 @@
     let deployment =
         Deployment::parse(&text, settings).map_err(usage_error)?;
     platform::start_logging(&deployment.log_level)?;
+    for problem in &deployment.unfilled {
+        log::warn!("{problem}");
+    }
     Ok(Some(platform::Settings {
         deployment,
         file: settings.to_owned(),
--- a/crates/state/src/deployment.rs
+++ b/crates/state/src/deployment.rs
@@ -134,6 +134,9 @@
     pub limits: Limits,
     /// The features that the deployment switches on.
     pub features: Features,
+    /// The optional settings that count as absent, because the platform has
+    /// not filled in their placeholders.
+    pub unfilled: Vec<Problem>,
 }
 
 /// Returns whether the text of a settings file has a `[platform]` section,
@@ -155,8 +158,24 @@
         let mut found: Vec<(&'static Key, String)> = Vec::new();
         let mut limits = Limits::default();
         let mut features = Features::default();
+        let mut unfilled = Vec::new();
         for section in ini_file::parse(text, file)? {
             for entry in &section.entries {
+                if is_placeholder(&entry.value)
+                    && is_optional(&section.path, &entry.key)
+                {
+                    let text = format!(
+                        "{}: the placeholder {} was not filled in, so the \
+                         setting counts as absent",
+                        entry.key, entry.value
+                    );
+                    unfilled.push(Problem {
+                        file: file.to_owned(),
+                        line: entry.line,
+                        text,
+                    });
+                    continue;
+                }
                 let result = match section.path.as_str() {
                     limits::SECTION => set_limit(&mut limits, entry),
                     features::SECTION => set_feature(&mut features, entry),
@@ -213,6 +232,7 @@
             upstream: value_of("upstream"),
             limits,
             features,
+            unfilled,
         };
         if problems.is_empty() {
             Ok(deployment)
@@ -222,6 +242,24 @@
     }
 }
 
+/// Returns whether a value is a placeholder of a template that was not filled
+/// in. A platform may know fewer names than the template does.
+fn is_placeholder(value: &str) -> bool {
+    value.starts_with("{{") && value.ends_with("}}")
+}
+
+/// Returns whether a setting is known and may be absent.
+fn is_optional(section: &str, name: &str) -> bool {
+    match section {
+        limits::SECTION => limits::names().any(|n| n == name),
+        features::SECTION => features::names().any(|n| n == name),
+        _ => KEYS
+            .iter()
+            .find(|k| k.section == section && k.name == name)
+            .is_some_and(|k| k.default.is_some()),
+    }
+}
+
 /// Sets a limit from its entry.
 ///
 /// # Errors
@@ -276,6 +314,10 @@
             .map_or(String::new(), |n| format!("; did you mean {n}?"));
         return Err(format!("no key {} in [{section}]{hint}", entry.key));
     };
+    if is_placeholder(&entry.value) {
+        let value = &entry.value;
+        return Err(format!("{}: {value} was not filled in", key.name));
+    }
     let unset = entry.value.is_empty() && key.default == Some("");
     let valid = entry.value.parse::<std::net::SocketAddr>().is_ok();
     if key.is_address && !valid && !unset {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -7,7 +7,9 @@
 
 use figrill_coordination::term::ELECTION_TIMEOUT;
 use figrill_standin::{caller::echo_job, process::wait_for};
-use figrill_state::{deployment::Deployment, settings::Tree};
+use figrill_state::{
+    deployment::Deployment, features::Features, limits::Limits, settings::Tree,
+};
 
 use crate::util::plan;
 
@@ -69,6 +71,84 @@
     }
 }
 
+// Guards against a process that does not start, because the platform knows
+// fewer names than the template of its settings.
+#[test]
+fn an_optional_setting_that_was_not_filled_in_counts_as_absent() {
+    struct Case {
+        text: &'static str,
+        error: &'static str,
+        unfilled: usize,
+    }
+    let cases = [
+        Case {
+            text: "[limits]\ndomain_drain_ms = {{bounds.evac_ms}}\n",
+            error: "",
+            unfilled: 1,
+        },
+        Case {
+            text: "[limits]\nstop_grace_ms = {{a}}\nmax_lease_ms = {{b}}\n\
+                   [features]\nworker_speeds = {{c}}\n",
+            error: "",
+            unfilled: 3,
+        },
+        Case {
+            text: "[limits]\ndomain_drain = {{bounds.evac_ms}}\n",
+            error: "x.ini:7: no key domain_drain in [limits]; did you mean \
+                    domain_drain_ms?",
+            unfilled: 0,
+        },
+        Case {
+            text: "[limits]\ndomain_drain_ms = {{bounds.evac_ms}}0\n",
+            error: "x.ini:7: domain_drain_ms: write a number",
+            unfilled: 0,
+        },
+    ];
+    let required = "[process]\nname = a\npeer = 127.0.0.1:1\n\
+                    [platform]\nstore = 127.0.0.1:2\n";
+    for case in cases {
+        let text = format!("{required}{}", case.text);
+        match Deployment::parse(&text, "x.ini") {
+            Ok(parsed) => {
+                assert!(case.error.is_empty(), "{}", case.text);
+                assert_eq!(parsed.unfilled.len(), case.unfilled);
+                assert_eq!(parsed.limits, Limits::default());
+                assert_eq!(parsed.features, Features::default());
+            }
+            Err(e) => {
+                let error = e.to_string();
+                assert!(!case.error.is_empty(), "{error}");
+                assert!(error.starts_with(case.error), "{error}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_required_setting_that_was_not_filled_in_is_an_error() {
+    let cases = [
+        (
+            "name = a",
+            "name = {{node}}",
+            "x.ini:2: name: {{node}} was not",
+        ),
+        ("127.0.0.1:1", "{{ip}}", "x.ini:3: peer: {{ip}} was not"),
+        (
+            "127.0.0.1:2",
+            "{{store}}",
+            "x.ini:5: store: {{store}} was not",
+        ),
+    ];
+    for (filled, unfilled, expected) in cases {
+        let text = "[process]\nname = a\npeer = 127.0.0.1:1\n\
+                    [platform]\nstore = 127.0.0.1:2\n";
+        let parsed =
+            Deployment::parse(&text.replace(filled, unfilled), "x.ini");
+        let error = parsed.err().map(|e| e.to_string()).unwrap_or_default();
+        assert!(error.starts_with(expected), "{error}");
+    }
+}
+
 #[test]
 fn features_of_a_deployment_are_off_unless_switched_on() {
     struct Case {
