Schedule a job by its queue in the version in force

Cause: the entry copies the terms of the queue into the job's record, and the scheduler read only those; of a later version it took the workspaces alone.

Now the scheduler keeps the queues of the version in force and gives each job the service, the priority and the time limits of its queue: when it is loaded, when it is accepted, and when a version is adopted. What has not started goes by them; runs go on where they are. A version from before the acceptance changes nothing, and the progress names the service for a coordinator that no longer knows the queue.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -47,6 +47,7 @@
 mod pace;
 mod place;
 mod plan;
+mod queues;
 mod reclaim;
 mod reports;
 mod speed;
@@ -112,6 +113,7 @@
     ended_jobs: EndedJobs,
     workers: BTreeMap<String, Worker>,
     workspaces: BTreeMap<String, Workspace>,
+    queues: queues::Queues,
     drain_view: drains::DrainView,
     /// Jobs whose progress has still to be put into a commit.
     dirty: BTreeSet<BatchId>,
@@ -156,6 +158,7 @@
             ended_jobs: EndedJobs::default(),
             workers: BTreeMap::new(),
             workspaces: BTreeMap::new(),
+            queues: queues::Queues::default(),
             drain_view: drains::DrainView::default(),
             dirty: BTreeSet::new(),
             queued_changed: true,
@@ -193,6 +196,7 @@
             return;
         }
         let mut job = Job::new(batch, progress);
+        job.restore_service();
         job.value_rate = self.delay_costs.job_values.record(&job.batch);
         let mut adopted = Vec::new();
         for (occurrence, steps) in &job.progress.tasks {
@@ -246,6 +250,7 @@
             self.dirty.insert(id);
         }
         self.jobs.insert(id, job);
+        self.apply_queue(id);
         self.update_job_state(now, id);
     }
 
@@ -294,6 +299,7 @@
         let mut job = Job::new(batch, Progress::default());
         job.value_rate = self.delay_costs.job_values.record(&job.batch);
         self.jobs.insert(id, job);
+        self.apply_queue(id);
         self.queued_changed = true;
         self.pending_work.plan = true;
         if cancelled {
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -228,6 +228,7 @@
             state: self.progress.state,
             tasks: BTreeMap::new(),
             ended_ms: self.progress.ended_ms,
+            service: self.progress.service.clone(),
         })
     }
 
--- a/crates/coordination/tests/ended_incarnations.rs
+++ b/crates/coordination/tests/ended_incarnations.rs
@@ -72,6 +72,7 @@
         workspace: "a".to_owned(),
         queue: "q".to_owned(),
         service: "svc".to_owned(),
+        catalog_version: 0,
         priority: 1,
         attempts: 3,
         stretch: 3.0,
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -18,6 +18,7 @@
 mod learnt_speeds;
 mod lost_workers;
 mod many_ends;
+mod moved_queues;
 mod preemption;
 mod queues;
 mod random_faults;
--- a/crates/coordination/tests/fleet/sim.rs
+++ b/crates/coordination/tests/fleet/sim.rs
@@ -18,6 +18,7 @@
 use figrill_coordination::scheduler::{Commit, Now, Scheduler};
 use figrill_example::pool::{Node, Pool};
 use figrill_state::batch::{Batch, BatchId, Progress};
+use figrill_state::catalog::Queue;
 use figrill_state::event::{Code, NewEvent};
 use figrill_state::features::Features;
 use figrill_state::limits::Limits;
@@ -79,6 +80,8 @@
     /// The starts that the scheduler has sent: the time in milliseconds, and
     /// `TASK/RUN AGENT`.
     pub start_orders: Vec<(u64, String)>,
+    /// The queues of the settings in force, and their version.
+    queues: (u64, Vec<Queue>),
     /// The features that are switched on from the next coordinator on.
     pub features: Features,
     /// The events that the scheduler has recorded about workers.
@@ -137,6 +140,7 @@
             scheduler: Scheduler::new(1, Now::default(), Limits::default()),
             faults: Faults::default(),
             features,
+            queues: (0, Vec::new()),
             token: 0,
             store_up: true,
             drains: DrainRequests::default(),
--- a/crates/coordination/tests/fleet/sim/jobs.rs
+++ b/crates/coordination/tests/fleet/sim/jobs.rs
@@ -18,6 +18,7 @@
         workspace: "a".to_owned(),
         queue: "q".to_owned(),
         service: "svc".to_owned(),
+        catalog_version: 0,
         priority,
         attempts: 2,
         stretch: 3.0,
--- a/crates/coordination/tests/fleet/sim/store.rs
+++ b/crates/coordination/tests/fleet/sim/store.rs
@@ -2,10 +2,11 @@
 //! that load them.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use figrill_coordination::scheduler::Scheduler;
 use figrill_state::batch::{Batch, BatchId, BatchState, Ledger, decode, keys};
-use figrill_state::catalog::Workspace;
+use figrill_state::catalog::{Queue, Workspace};
 use figrill_state::kv::Txn;
 
 use super::messages::{Message, is_for_coordinator};
@@ -32,6 +33,9 @@
             .with_features(self.features);
         self.drains.next_read_ms = self.now_ms;
         self.scheduler.set_workspaces(workspaces());
+        if self.queues.0 > 0 {
+            self.scheduler.set_queues(self.queues.0, &self.queues.1);
+        }
         for (batch, revision) in self.batches.values() {
             match self.progress.get(&batch.id) {
                 Some(p) => {
@@ -54,6 +58,25 @@
         }
     }
 
+    /// Adopts another version of the queues, the only one of which is named `q`
+    /// and belongs to `service`; `None` if there is none.
+    pub fn set_queue(&mut self, version: u64, service: Option<&str>) {
+        let queue = |service: &str| Queue {
+            name: "q".to_owned(),
+            host: String::new(),
+            prefix: String::new(),
+            service: service.to_owned(),
+            priority: 1,
+            attempts: 2,
+            stretch: 3.0,
+            target: Duration::from_secs(1),
+            public: false,
+            has_placement_advice: false,
+        };
+        self.queues = (version, service.map(queue).into_iter().collect());
+        self.scheduler.set_queues(version, &self.queues.1);
+    }
+
     pub fn submit(&mut self, batch: Batch) {
         let batch = Batch {
             accepted_ms: WALL_START_MS + self.now_ms,
--- a/crates/coordination/tests/oversized.rs
+++ b/crates/coordination/tests/oversized.rs
@@ -32,6 +32,7 @@
         workspace: "a".to_owned(),
         queue: "q".to_owned(),
         service: "svc".to_owned(),
+        catalog_version: 0,
         priority: 1,
         attempts: 1,
         stretch: 3.0,
--- a/crates/node/src/fleet/callers.rs
+++ b/crates/node/src/fleet/callers.rs
@@ -183,7 +183,9 @@
         let id = self.caller_codec.parse_job_id(&request.path, &queue.prefix);
         let reply = match (request.kind, id) {
             (Some(RequestKind::Submit), Some(id)) => {
-                match self.submit(queue, workspace, id, body, &deadline) {
+                let accepted_by = (queue, catalog.version);
+                match self.submit(accepted_by, workspace, id, body, &deadline)
+                {
                     Ok(reply) => reply,
                     Err(why) => return self.refuse(why, request, Some(id)),
                 }
@@ -246,10 +248,11 @@
     }
 
     /// Stores a job. If that fails, refuses the job only if no entry has a
-    /// write of it that may still be applied.
+    /// write of it that may still be applied. The queue is that of a version
+    /// of the catalogue.
     fn submit(
         &self,
-        queue: &Queue,
+        (queue, catalog_version): (&Queue, u64),
         workspace: &str,
         id: BatchId,
         body: &[u8],
@@ -264,6 +267,7 @@
             workspace: workspace.to_owned(),
             queue: queue.name.clone(),
             service: queue.service.clone(),
+            catalog_version,
             priority: queue.priority,
             attempts: queue.attempts,
             stretch: queue.stretch,
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -279,6 +279,7 @@
             if let Some(catalog) = catalog.filter(|c| c.version != version) {
                 version = catalog.version;
                 scheduler.set_workspaces(catalog.workspaces.clone());
+                scheduler.set_queues(version, &catalog.queues);
             }
             self.handle_inputs(&mut scheduler, &mut directory, &inputs);
             self.operators.drains.pass_to(&mut scheduler, self.now());
--- a/crates/state/src/batch.rs
+++ b/crates/state/src/batch.rs
@@ -199,8 +199,13 @@
     pub workspace: String,
     /// The queue that the job was submitted to.
     pub queue: String,
-    /// The service whose workers run the job.
+    /// The service whose workers ran the queue's jobs when the job was
+    /// accepted.
     pub service: String,
+    /// The version of the catalogue under which the job was accepted; 0 in
+    /// records of earlier builds.
+    #[serde(default)]
+    pub catalog_version: u64,
     /// The job's priority. Jobs of priority 0 go first and may reclaim
     /// capacity from jobs of all other priorities.
     pub priority: u32,
@@ -349,6 +354,10 @@
     pub tasks: BTreeMap<u32, Vec<Vec<TaskProgress>>>,
     /// When the job ended, in milliseconds since the Unix epoch; 0 until then.
     pub ended_ms: u64,
+    /// The service that runs the job since its queue was moved; empty if that
+    /// is the one of the job's record.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub service: String,
 }
 
 /// The record that the coordinator writes with every commit of job progress.
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -120,6 +120,7 @@
     JobStarted 2014 Debug "the first task of a job has started, so the job is no longer queued",
     RecordRejected 2015 Error "the store does not accept a record of a job; the job ends, and all others go on",
     PreemptionDeclined 2016 Debug "waiting work would gain too little by preempting runs, so it waits for capacity that becomes free",
+    JobMoved 2017 Info "the queue of a job belongs to another service, which runs what has not started of the job",
     JobOversized 2020 Warn "a task of a job needs more than any worker of its service has offered, so the job may never run",
     GrantHeld 3001 Debug "an agent reserved capacity for a gang",
     GrantRefused 3002 Debug "an agent refused to reserve capacity",
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -293,6 +293,23 @@
     }
 }
 
+// Guards against a job that stays with the service to which its queue belonged
+// when it was accepted, as in review/10.
+#[test]
+fn a_job_that_waits_follows_its_queue_to_another_service() {
+    let site = start_site(1, 1);
+    let mut without_workers = configuration(5, &[API_KEY]);
+    without_workers["routes"][0]["service"] = json!("svc-without-workers");
+    site.configure(&without_workers);
+    thread::sleep(ADOPTION_LIMIT);
+    let work = job(1, 1, 100, false);
+    assert_eq!(site.client.submit(site.entry(0), 1, &work).status, 200);
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(site.client.state(site.entry(0), 1), "queued");
+    site.configure(&configuration(6, &[API_KEY]));
+    site.wait_for_state(0, 1, "done", ADOPTION_LIMIT + WAIT_LIMIT);
+}
+
 #[test]
 fn compaction_of_the_history_loses_no_job() {
     let site = start_site(1, 1);
