Bound what a planning pass looks at, whatever the size of jobs

Cause: each pass computed for each step that waits what follows from the steps alone, in walks over all steps and dependencies, and looked at all tasks of all due occurrences; and the thread that plans is the one that answers agents.

Now a job computes its step graph once and keeps its waiting tasks up to date.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -139,6 +139,9 @@
     plan: bool,
     /// Whether a stop was requested and not sent yet.
     send_stops: bool,
+    /// The first group beyond the first ones that the next planning pass looks
+    /// at, if there are too many for one pass.
+    next_group: usize,
     /// When the next regular check is due.
     next_check: Duration,
 }
@@ -238,7 +241,7 @@
                 first_percent: None,
             };
             let needs = job.batch.step(task).map(|s| s.needs);
-            job.runs.insert(task, run);
+            job.insert_run(task, run);
             // The upstream may have taken a lease as far ahead as it accepts,
             // from a call that was meant for an earlier incarnation.
             let expires_at = self.lease_expiry(self.started_at);
--- a/crates/coordination/src/scheduler/endings.rs
+++ b/crates/coordination/src/scheduler/endings.rs
@@ -22,7 +22,7 @@
     /// no such run.
     pub(super) fn release(&mut self, id: TaskId, reason: &str) -> Option<Run> {
         let job = self.jobs.get_mut(&id.job)?;
-        let run = job.runs.remove(&id)?;
+        let run = job.remove_run(id)?;
         if let Some(task) = job.task_mut(id) {
             task.placement = None;
             if !run.checkpoint.is_empty() {
@@ -80,7 +80,7 @@
         };
         let gang = job.batch.step(id).is_some_and(|s| s.gang);
         let persistent = job.batch.step(id).is_some_and(|s| s.persistent);
-        if persistent {
+        if persistent || job.is_task_done(id) {
             return;
         }
         let members: Vec<TaskId> = if gang {
@@ -89,10 +89,7 @@
             vec![id]
         };
         for member in members {
-            if let Some(task) = job.task_mut(member) {
-                task.done = true;
-                task.checkpoint.clear();
-            }
+            job.set_done(member);
         }
         self.dirty.insert(id.job);
         self.pending_work.plan = true;
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -1,168 +1,24 @@
 //! The scheduler's view of one job: its record, its progress and its current
 //! runs.
 
-use std::{borrow::Cow, collections::BTreeMap, time::Duration};
+use std::{
+    borrow::Cow,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use figrill_state::batch::{
-    Batch, BatchState, Incarnation, Placement, Progress, Step, TaskId,
-    TaskProgress,
+    Batch, BatchState, Placement, Progress, Step, TaskId, TaskProgress,
 };
 
-use super::START_WINDOW;
-use crate::open_calls::LATE_CALL_WINDOW;
-
-/// The phase of a run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Phase {
-    /// The placement is not committed yet, and nothing was ordered.
-    Committing {
-        /// The number of the commit that contains it, once there is one.
-        commit: Option<u64>,
-    },
-    /// The start was ordered. A snapshot that is taken later than
-    /// `conclusive_after_ms` shows whether the run exists.
-    Ordered {
-        /// A time on the upstream's clock, in milliseconds.
-        conclusive_after_ms: u64,
-    },
-    /// The upstream has ended, and the run is being stopped on the next
-    /// incarnation, which a call to start it may still reach.
-    Superseded {
-        /// When the next incarnation acknowledged the stop, in milliseconds on
-        /// its clock. A snapshot that is taken later shows whether the run
-        /// exists there.
-        stopped_at_ms: Option<u64>,
-    },
-    /// The upstream has listed or confirmed the run.
-    Running {
-        /// The upstream's clock when it first did so, in milliseconds.
-        first_seen_ms: u64,
-    },
-}
-
-impl Phase {
-    /// Returns whether the start was ordered and nothing has shown the run.
-    pub(super) const fn awaits_start(self) -> bool {
-        matches!(self, Self::Ordered { .. } | Self::Superseded { .. })
-    }
-
-    /// Returns the name used in logs.
-    pub(super) const fn name(self) -> &'static str {
-        match self {
-            Self::Committing { .. } => "committing",
-            Self::Ordered { .. } => "ordered",
-            Self::Superseded { .. } => "superseded",
-            Self::Running { .. } => "running",
-        }
-    }
-}
-
-/// A run that may hold resources of a worker.
-#[derive(Clone, Debug)]
-pub(super) struct Run {
-    pub(super) agent: String,
-    pub(super) upstream: Incarnation,
-    /// The number of the run: later runs of the same task have higher ones.
-    pub(super) number: u32,
-    pub(super) phase: Phase,
-    /// When the run was placed.
-    pub(super) placed_at: Duration,
-    /// When its start was ordered; `None` before that.
-    pub(super) ordered_at: Option<Duration>,
-    /// Whether an earlier coordinator has ordered its start.
-    pub(super) is_adopted: bool,
-    /// Whether its agent has made all calls to start it, and every one of them
-    /// was answered.
-    pub(super) is_answered: bool,
-    /// From when on no call to start the run can begin it any more, nor have
-    /// begun it at an incarnation that nobody has heard of and whose lease
-    /// lasts. Zero once its upstream is known to have executed the only call.
-    pub(super) settled_at: Duration,
-    /// When a stop was last sent, if the run is to be stopped; zero if none
-    /// was sent yet.
-    pub(super) stopping: Option<Duration>,
-    /// Its latest checkpoint, or the one it starts from; empty if there is
-    /// none.
-    pub(super) checkpoint: String,
-    /// The latest reported progress, in percent.
-    pub(super) percent: u32,
-    /// When the progress last increased.
-    pub(super) progressed_at: Duration,
-    /// The progress, in percent, when this run was first listed.
-    pub(super) initial_percent: u32,
-    /// The progress, in percent, from which it began; `None` until it is
-    /// listed.
-    pub(super) first_percent: Option<u32>,
-}
-
-impl Run {
-    /// Returns after which time on the upstream's clock, in milliseconds, a
-    /// snapshot shows whether the run exists; `None` if none does yet.
-    pub(super) fn conclusive_after_ms(&self, now: Duration) -> Option<u64> {
-        match self.phase {
-            Phase::Committing { .. } => None,
-            // A call for an adopted run may still reach the next incarnation.
-            Phase::Ordered { .. }
-                if self.is_adopted && !self.calls_have_ended(now) =>
-            {
-                None
-            }
-            Phase::Ordered {
-                conclusive_after_ms,
-            } => Some(conclusive_after_ms),
-            Phase::Superseded { stopped_at_ms } => {
-                // No call is on its way any more, so an answer to the stop is
-                // not needed.
-                stopped_at_ms.or((now >= self.settled_at).then_some(0))
-            }
-            Phase::Running { first_seen_ms } => Some(first_seen_ms),
-        }
-    }
+use frontier::{Frontier, StepKey};
+use step_graph::StepGraph;
 
-    /// Records a listed progress, in percent. Returns whether it is the first
-    /// progress of this run. One that resumed from a checkpoint began with the
-    /// first listed progress.
-    pub(super) fn record_progress(&mut self, percent: u32) -> bool {
-        let is_resumed = self.is_adopted || !self.checkpoint.is_empty();
-        let first = if is_resumed { percent } else { 0 };
-        let first = *self.first_percent.get_or_insert(first);
-        self.percent <= first && percent > first
-    }
+mod frontier;
+mod run;
+mod step_graph;
 
-    /// Returns whether a snapshot has shown progress of this run.
-    pub(super) fn has_progressed(&self) -> bool {
-        self.first_percent.is_some_and(|first| self.percent > first)
-    }
-
-    /// Returns whether a call to start the run that this coordinator has
-    /// ordered may be on its way.
-    pub(super) fn awaits_answers(&self, now: Duration) -> bool {
-        let is_recent = |at: Duration| now < at + START_WINDOW;
-        !self.is_answered
-            && !self.is_adopted
-            && self.ordered_at.is_some_and(is_recent)
-    }
-
-    /// Returns until when a call to start the run that this coordinator has
-    /// ordered may be executed although nobody knows its answer; zero if there
-    /// is none.
-    pub(super) fn open_until(&self) -> Duration {
-        if self.is_answered || self.is_adopted {
-            return Duration::ZERO;
-        }
-        let ordered_at = self.ordered_at;
-        ordered_at
-            .map_or(Duration::ZERO, |at| at + START_WINDOW + LATE_CALL_WINDOW)
-    }
-
-    /// Returns whether no call to start the run is on its way any more. The
-    /// answers to calls that an earlier coordinator has ordered are not known.
-    pub(super) fn calls_have_ended(&self, now: Duration) -> bool {
-        let is_past = |at: Duration| now >= at + START_WINDOW;
-        self.is_answered
-            || self.is_adopted && self.ordered_at.is_some_and(is_past)
-    }
-}
+pub(super) use run::{Phase, Run};
 
 /// A failed run of a task, and the worker on which it failed.
 #[derive(Clone, Debug)]
@@ -178,7 +34,12 @@
 pub(super) struct Job {
     pub(super) batch: Batch,
     pub(super) progress: Progress,
-    /// Runs that may hold resources of a worker.
+    graph: StepGraph,
+    frontier: Frontier,
+    /// A task that has used up its attempts, if there is one.
+    failed_task: Option<TaskId>,
+    /// Runs that may hold resources of a worker. They are added by
+    /// [`Self::insert_run`] and removed by [`Self::remove_run`].
     pub(super) runs: BTreeMap<TaskId, Run>,
     /// When tasks of each step were first ready to be placed, by occurrence
     /// and step.
@@ -204,7 +65,10 @@
 
 impl Job {
     pub(super) fn new(batch: Batch, progress: Progress) -> Self {
-        Self {
+        let mut job = Self {
+            graph: StepGraph::new(&batch.steps),
+            frontier: Frontier::default(),
+            failed_task: None,
             batch,
             progress,
             runs: BTreeMap::new(),
@@ -216,7 +80,96 @@
             preemptions: BTreeMap::new(),
             is_unstorable: false,
             value_rate: 0.0,
+        };
+        let last = job.progress.tasks.last_key_value().map(|(k, _)| *k);
+        while last.is_some_and(|last| job.frontier.opened() <= last) {
+            job.open_occurrence();
         }
+        job.failed_task = job.find_failed_task();
+        job
+    }
+
+    /// Opens the occurrences that are due, so that their tasks wait to be
+    /// placed.
+    pub(super) fn open_due(&mut self, wall_ms: u64) {
+        while self.frontier.opened() < self.batch.occurrences()
+            && self.batch.due_ms(self.frontier.opened()) <= wall_ms
+        {
+            self.open_occurrence();
+        }
+    }
+
+    fn open_occurrence(&mut self) {
+        let tasks = self.progress.tasks.get(&self.frontier.opened());
+        self.frontier.open_next(&self.graph, |step, index| {
+            let of_step = tasks.and_then(|steps| steps.get(step as usize));
+            let task = of_step.and_then(|tasks| tasks.get(index as usize));
+            task.is_some_and(|t| t.done)
+        });
+    }
+
+    /// Returns the steps that the next planning pass looks at, in order, and
+    /// whether there are more.
+    pub(super) fn next_steps(&mut self) -> (Vec<StepKey>, bool) {
+        self.frontier.next_steps()
+    }
+
+    /// Returns the shape of a step: steps of one shape fit on the same workers.
+    pub(super) fn shape(&self, step: u32) -> usize {
+        self.graph.shape(step)
+    }
+
+    /// Returns the indices of the tasks of a step that wait to be placed.
+    pub(super) fn waiting_tasks(&self, key: StepKey) -> &BTreeSet<u32> {
+        self.frontier.waiting(key)
+    }
+
+    /// Adds a run of a task.
+    pub(super) fn insert_run(&mut self, task: TaskId, run: Run) {
+        self.frontier.run_added(task, &self.graph);
+        self.runs.insert(task, run);
+    }
+
+    /// Removes the run of a task, which waits to be placed again unless it is
+    /// done.
+    pub(super) fn remove_run(&mut self, task: TaskId) -> Option<Run> {
+        let run = self.runs.remove(&task)?;
+        if !self.is_task_done(task) {
+            self.frontier.run_removed(task, &self.graph);
+        }
+        Some(run)
+    }
+
+    /// Returns whether a task is done.
+    pub(super) fn is_task_done(&self, task: TaskId) -> bool {
+        self.task(task).is_some_and(|t| t.done)
+    }
+
+    /// Marks a task as done.
+    pub(super) fn set_done(&mut self, task: TaskId) {
+        let Some(progress) = self.task_mut(task).filter(|t| !t.done) else {
+            return;
+        };
+        progress.done = true;
+        progress.checkpoint.clear();
+        let Self {
+            frontier,
+            graph,
+            progress,
+            runs,
+            ..
+        } = self;
+        let tasks = progress.tasks.get(&task.occurrence);
+        frontier.task_done(task, graph, |step, index| {
+            let of_step = tasks.and_then(|steps| steps.get(step as usize));
+            let other = of_step.and_then(|tasks| tasks.get(index as usize));
+            let id = TaskId {
+                step,
+                index,
+                ..task
+            };
+            !other.is_some_and(|t| t.done) && !runs.contains_key(&id)
+        });
     }
 
     /// Returns the progress that is written to the store.
@@ -279,43 +232,43 @@
         })
     }
 
-    /// Returns whether all tasks of a step are done.
-    pub(super) fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
-        self.tasks_of(occurrence, step)
-            .all(|t| self.task(t).is_some_and(|p| p.done))
-    }
-
-    /// Returns whether all steps that this step depends on are done.
-    pub(super) fn is_step_unblocked(
-        &self,
-        occurrence: u32,
-        step: u32,
-    ) -> bool {
-        let Some(spec) = self.batch.steps.get(step as usize) else {
-            return false;
-        };
-        spec.after.iter().all(|s| self.is_step_done(occurrence, *s))
-    }
-
     /// Returns whether all steps of all occurrences are done.
     pub(super) fn is_done(&self) -> bool {
-        let steps = u32::try_from(self.batch.steps.len()).unwrap_or(0);
-        (0..self.batch.occurrences())
-            .all(|k| (0..steps).all(|s| self.is_step_done(k, s)))
+        self.frontier.done() >= self.batch.occurrences()
     }
 
     /// Returns whether a task or a gang has used up its attempts. Persistent
     /// steps have no limit.
     pub(super) fn has_failed(&self) -> bool {
+        self.failed_task
+            .is_some_and(|task| !self.is_task_done(task))
+    }
+
+    /// Returns whether a task has used up its attempts.
+    fn is_task_failed(&self, task: TaskId) -> bool {
+        let is_limited = self.batch.step(task).is_some_and(|s| !s.persistent);
         let attempts = self.batch.attempts.max(1);
-        let failed = |step: &Step, tasks: &[TaskProgress]| {
-            !step.persistent
-                && tasks.iter().any(|t| !t.done && t.failures >= attempts)
-        };
-        self.progress.tasks.values().any(|steps| {
-            let pairs = self.batch.steps.iter().zip(steps);
-            pairs.into_iter().any(|(step, tasks)| failed(step, tasks))
-        })
+        is_limited
+            && self
+                .task(task)
+                .is_some_and(|t| !t.done && t.failures >= attempts)
+    }
+
+    /// Looks for a task that has used up its attempts.
+    fn find_failed_task(&self) -> Option<TaskId> {
+        let steps = self.progress.tasks.iter().flat_map(|(k, steps)| {
+            (0..).zip(steps).map(move |(step, tasks)| (*k, step, tasks))
+        });
+        let mut tasks = steps.flat_map(|(occurrence, step, tasks)| {
+            let job = self.batch.id;
+            (0..).zip(tasks).map(move |(index, _)| TaskId {
+                job,
+                occurrence,
+                step,
+                index,
+            })
+        });
+        tasks.find(|task| self.is_task_failed(*task))
     }
 
     /// Returns whether another failed run of a task fails the job.
@@ -339,6 +292,9 @@
             progress.failed_run = run;
             progress.failures += 1;
         }
+        if self.is_task_failed(counting_task) {
+            self.failed_task = Some(counting_task);
+        }
     }
 
     /// Returns the task in which events of a task are counted that concern its
@@ -396,7 +352,7 @@
             initial_percent: 0,
             first_percent: None,
         };
-        self.runs.insert(task, run);
+        self.insert_run(task, run);
     }
 
     /// Records that a task has started. Returns whether the job was queued
@@ -409,49 +365,30 @@
         was_queued
     }
 
-    /// Returns the current runs of a gang's members.
-    fn gang_runs(&self, id: TaskId) -> impl Iterator<Item = &Run> {
-        self.tasks_of(id.occurrence, id.step)
-            .filter_map(|member| self.runs.get(&member))
-    }
-
-    /// Returns when any current run of a gang's members last made progress;
-    /// zero if there is none.
-    pub(super) fn gang_progressed_at(&self, id: TaskId) -> Duration {
-        let progressed_at = self.gang_runs(id).map(|run| run.progressed_at);
-        progressed_at.max().unwrap_or_default()
-    }
-
-    /// Returns whether all members of a gang run.
-    pub(super) fn is_gang_complete(&self, id: TaskId) -> bool {
-        let mut members = self.tasks_of(id.occurrence, id.step);
-        members.all(|member| {
-            let run = self.runs.get(&member);
-            run.is_some_and(|r| matches!(r.phase, Phase::Running { .. }))
-        })
-    }
-
-    /// Returns whether a run has made less progress than another member of
-    /// its gang. Members end together, so the others of a gang that has come
-    /// to a halt only wait for those that lag.
-    pub(super) fn lags_in_gang(&self, id: TaskId, run: &Run) -> bool {
-        self.gang_runs(id).any(|other| other.percent > run.percent)
+    /// Returns the current runs of the step and occurrence of a task.
+    pub(super) fn runs_of_step(
+        &self,
+        id: TaskId,
+    ) -> impl Iterator<Item = (&TaskId, &Run)> {
+        let first = TaskId { index: 0, ..id };
+        let last = TaskId {
+            index: u32::MAX,
+            ..id
+        };
+        self.runs.range(first..=last)
     }
 
     /// Returns the largest number of accelerators that one step of the job
     /// needs.
     pub(super) fn max_step_accelerators(&self) -> u64 {
-        let accelerators =
-            |s: &Step| s.needs.accelerators.saturating_mul(s.count.into());
-        self.batch.steps.iter().map(accelerators).max().unwrap_or(0)
+        self.graph.max_accelerators()
     }
 
     /// Returns the latest end of an occurrence that still meets the caller's
     /// deadline, in milliseconds since 1970.
     pub(super) fn due_ms(&self, occurrence: u32) -> u64 {
-        let critical_path = Duration::from_millis(self.critical_path_ms());
-        let allowed =
-            critical_path.mul_f64(self.batch.stretch.clamp(0.0, 1e6));
+        let stretch = self.batch.stretch.clamp(0.0, 1e6);
+        let allowed = self.graph.critical_path().mul_f64(stretch);
         let allowed = allowed + self.batch.target;
         self.allowed_from_ms(occurrence)
             + u64::try_from(allowed.as_millis()).unwrap_or(0)
@@ -470,44 +407,14 @@
     /// Returns the length of the longest chain of steps that follow a step,
     /// by their estimates.
     pub(super) fn time_after_step(&self, step: u32) -> Duration {
-        if step as usize + 1 >= self.batch.steps.len() {
-            return Duration::ZERO;
-        }
-        let mut chain_ms: BTreeMap<u32, u64> = BTreeMap::from([(step, 0)]);
-        let mut latest_ms = 0;
-        for (index, spec) in (0..).zip(&self.batch.steps).skip(1) {
-            let follows = spec.after.iter().filter_map(|s| chain_ms.get(s));
-            if let Some(start_ms) = follows.max().copied() {
-                let end_ms = start_ms.saturating_add(spec.estimate_ms);
-                chain_ms.insert(index, end_ms);
-                latest_ms = latest_ms.max(end_ms);
-            }
-        }
-        Duration::from_millis(latest_ms)
+        self.graph.time_after(step)
     }
 
     /// Returns how long the job may wait in total and still meet its
     /// deadline. Its work is assumed to take `typical_duration` at least.
     pub(super) fn slack(&self, typical_duration: Duration) -> Duration {
-        let critical_path = Duration::from_millis(self.critical_path_ms())
-            .max(typical_duration);
+        let critical_path = self.graph.critical_path().max(typical_duration);
         let extra = (self.batch.stretch - 1.0).clamp(0.0, 1e6);
         critical_path.mul_f64(extra) + self.batch.target
     }
-
-    /// Returns the length of the critical path through the steps, by their
-    /// estimates, in milliseconds.
-    fn critical_path_ms(&self) -> u64 {
-        let mut end_times_ms: Vec<u64> = Vec::new();
-        for step in &self.batch.steps {
-            let dependencies = step.after.iter();
-            let start_ms = dependencies
-                .filter_map(|s| end_times_ms.get(*s as usize))
-                .max()
-                .copied()
-                .unwrap_or(0);
-            end_times_ms.push(start_ms + step.estimate_ms);
-        }
-        end_times_ms.into_iter().max().unwrap_or(0)
-    }
 }
--- a/crates/coordination/src/scheduler/pace.rs
+++ b/crates/coordination/src/scheduler/pace.rs
@@ -73,12 +73,10 @@
         if step.data_rack.as_deref().is_some_and(|data| data != rack) {
             return None;
         }
-        let mut members = job.tasks_of(task.occurrence, task.step);
         let is_spread = step.gang
             && step.same_rack
-            && members.any(|member| {
-                let run = job.runs.get(&member);
-                let other = run.and_then(|r| self.rack_of(&r.agent));
+            && job.runs_of_step(task).any(|(_, run)| {
+                let other = self.rack_of(&run.agent);
                 other.is_some_and(|other| other != rack)
             });
         let estimate = Duration::from_millis(step.estimate_ms);
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -20,6 +20,7 @@
 
 use super::{
     Now, Scheduler,
+    avoidance::FailureHistory,
     job::Job,
     place::{Assignment, Candidate, PlacementRequest, SpeedDemand, scaled},
     task_group::{GroupContext, TaskGroup, add_groups},
@@ -33,6 +34,14 @@
 /// which one planning pass frees or reserves capacity.
 const MAX_RESERVATIONS: usize = 2;
 
+/// The maximum number of groups that one planning pass looks at. The reports of
+/// agents wait meanwhile, and with them the leases of runs.
+const MAX_GROUPS: usize = 1024;
+
+/// The number of groups that each pass looks at if there are more than
+/// [`MAX_GROUPS`]: the first ones in order.
+const MAX_FIRST_GROUPS: usize = 768;
+
 /// The factor applied to the median run time of a queue's tasks. A task is
 /// assumed to take at least the result, whatever its estimate says.
 const TYPICAL_DURATION_FACTOR: f64 = 0.7;
@@ -49,7 +58,7 @@
         if self.features.delay_cost {
             self.refill_budget(now);
         }
-        let mut groups = self.pending_groups(now, &claims);
+        let (mut groups, mut has_more) = self.pending_groups(now, &claims);
         if groups.is_empty() {
             return;
         }
@@ -63,11 +72,22 @@
             groups
                 .sort_by_key(|g| (g.priority, !g.claim, g.due_ms, g.first()));
         }
+        has_more |= self.limit_pass(&mut groups);
         let mut candidates = self.candidates(now);
         let mut victims = None;
         let mut reserved = 0;
+        let mut full = BTreeSet::new();
         for group in &groups {
-            let placed = self.place_group(now, group, &mut candidates);
+            let shape = self.shape_of(group);
+            let placed = if shape.is_some_and(|s| full.contains(&s)) {
+                0
+            } else {
+                self.place_group(now, group, &mut candidates)
+            };
+            // What did not fit does not fit for later tasks of its shape.
+            full.extend(shape.filter(|_| placed == 0));
+            // The next pass has other tasks, and may find room for them.
+            self.pending_work.plan |= has_more && placed > 0;
             self.record_turn(group, placed);
             if placed == group.count() {
                 continue;
@@ -87,12 +107,42 @@
         }
     }
 
-    /// Returns the groups of all tasks that wait to be placed.
+    /// Drops groups, which are in order, if there are too many for one pass.
+    /// Besides the first ones, the passes look at the others in turn. Returns
+    /// whether any were dropped.
+    fn limit_pass(&mut self, groups: &mut Vec<TaskGroup>) -> bool {
+        if groups.len() <= MAX_GROUPS {
+            return false;
+        }
+        let others = groups.split_off(MAX_FIRST_GROUPS);
+        let from = self.pending_work.next_group % others.len();
+        let count = MAX_GROUPS - MAX_FIRST_GROUPS;
+        self.pending_work.next_group = from + count;
+        let in_turn = others.into_iter().skip(from).take(count);
+        groups.extend(in_turn);
+        true
+    }
+
+    /// Returns a value that is the same for groups of one job that fit on the
+    /// same workers; `None` if that depends on more than their steps.
+    fn shape_of(&self, group: &TaskGroup) -> Option<(BatchId, usize)> {
+        let task = group.first();
+        let job = self.jobs.get(&task.job)?;
+        let step = job.batch.step(task)?;
+        let is_plain = !step.same_rack
+            && step.data_rack.is_none()
+            && step.max_per_worker == 0
+            && group.history == FailureHistory::default();
+        is_plain.then(|| (task.job, job.shape(task.step)))
+    }
+
+    /// Returns the groups of tasks that wait to be placed, and whether there are
+    /// more than one pass looks at.
     fn pending_groups(
         &mut self,
         now: Now,
         claims: &BTreeSet<BatchId>,
-    ) -> Vec<TaskGroup> {
+    ) -> (Vec<TaskGroup>, bool) {
         let max_claim_rack_wait = self.max_preemption_wait();
         // A gang that is spread takes its capacity from others for longer.
         let rack_patience = if self.is_crowded() {
@@ -102,30 +152,26 @@
         };
         let typical_durations = self.typical_durations();
         let mut groups = Vec::new();
+        let mut has_more = false;
         for job in self.jobs.values_mut() {
             if job.progress.state.is_final() || job.batch.cancelled {
                 continue;
             }
-            for occurrence in 0..job.batch.occurrences() {
-                if job.batch.due_ms(occurrence) > now.wall_ms {
-                    break;
-                }
-                let cx = GroupContext {
-                    now,
-                    claim: claims.contains(&job.batch.id),
-                    typical_duration: typical_durations
-                        .get(&job.batch.queue)
-                        .copied()
-                        .unwrap_or_default(),
-                    max_claim_rack_wait,
-                    rack_patience,
-                    worker_health: self.features.worker_health,
-                };
-                add_groups(job, occurrence, cx, &mut groups);
-            }
+            let cx = GroupContext {
+                now,
+                claim: claims.contains(&job.batch.id),
+                typical_duration: typical_durations
+                    .get(&job.batch.queue)
+                    .copied()
+                    .unwrap_or_default(),
+                max_claim_rack_wait,
+                rack_patience,
+                worker_health: self.features.worker_health,
+            };
+            has_more |= add_groups(job, cx, &mut groups);
         }
         self.withhold_orphaned(now, &mut groups);
-        groups
+        (groups, has_more)
     }
 
     /// Returns the assumed minimum run time of the tasks of each queue.
@@ -382,10 +428,8 @@
     task: TaskId,
 ) -> BTreeMap<String, u32> {
     let mut tasks_by_agent = BTreeMap::new();
-    for (id, run) in &job.runs {
-        if id.occurrence == task.occurrence && id.step == task.step {
-            *tasks_by_agent.entry(run.agent.clone()).or_insert(0) += 1;
-        }
+    for (_, run) in job.runs_of_step(task) {
+        *tasks_by_agent.entry(run.agent.clone()).or_insert(0) += 1;
     }
     tasks_by_agent
 }
--- a/crates/coordination/src/scheduler/task_group.rs
+++ b/crates/coordination/src/scheduler/task_group.rs
@@ -12,6 +12,10 @@
     victims::cores,
 };
 
+/// The maximum number of tasks in a group that is not a gang. A planning pass
+/// places hardly more; the others follow in the next ones.
+const MAX_TASKS: usize = 512;
+
 /// The tasks of one step and occurrence that wait to be placed.
 #[derive(Clone, Debug)]
 pub(super) struct TaskGroup {
@@ -76,75 +80,86 @@
     }
 }
 
-/// Adds the groups of one occurrence of a job to `groups`. A gang is only
-/// added when all its members wait to be placed.
+/// Adds the groups of a job that the next planning pass looks at to `groups`.
+/// A gang is only added when all its members wait to be placed. Returns whether
+/// the job has more.
 pub(super) fn add_groups(
     job: &mut Job,
-    occurrence: u32,
     cx: GroupContext,
     groups: &mut Vec<TaskGroup>,
-) {
-    let steps = u32::try_from(job.batch.steps.len()).unwrap_or(0);
-    for step in 0..steps {
-        if !job.is_step_unblocked(occurrence, step) {
+) -> bool {
+    job.open_due(cx.now.wall_ms);
+    let (steps, mut has_more) = job.next_steps();
+    for (occurrence, step) in steps {
+        let waiting = job.waiting_tasks((occurrence, step));
+        let spec = &job.batch.steps[step as usize];
+        if spec.gang && waiting.len() < spec.count as usize {
             continue;
         }
-        let gang = job.batch.steps[step as usize].gang;
-        let all: Vec<TaskId> = job.tasks_of(occurrence, step).collect();
-        let is_pending = |task: &TaskId| {
-            let done = job.task(*task).is_some_and(|t| t.done);
-            !done && !job.runs.contains_key(task)
-        };
-        let tasks: Vec<TaskId> =
-            all.iter().copied().filter(is_pending).collect();
-        if tasks.is_empty() || gang && tasks.len() < all.len() {
+        let limit = if spec.gang { usize::MAX } else { MAX_TASKS };
+        has_more |= waiting.len() > limit;
+        let id = job.batch.id;
+        let tasks = waiting.iter().take(limit).map(|index| TaskId {
+            job: id,
+            occurrence,
+            step,
+            index: *index,
+        });
+        let tasks: Vec<TaskId> = tasks.collect();
+        if tasks.is_empty() {
             continue;
         }
-        let key = (occurrence, step);
-        let ready_at = *job.ready_at.entry(key).or_insert(cx.now.monotonic);
-        let estimate = job.batch.steps[step as usize].estimate_ms;
-        let expected_duration =
-            Duration::from_millis(estimate).max(cx.typical_duration);
-        let max_rack_wait = if cx.claim {
-            expected_duration.min(cx.max_claim_rack_wait)
-        } else {
-            expected_duration.mul_f64(cx.rack_patience)
-        };
-        let needs = job.batch.steps[step as usize].needs;
-        let count = f64::from(u32::try_from(tasks.len()).unwrap_or(u32::MAX));
-        for task in &tasks {
-            // Creates the progress of the task, which placement relies on.
-            job.task_mut(*task);
-        }
-        let due_ms = job.due_ms(occurrence);
-        let expected_ms =
-            u64::try_from(expected_duration.as_millis()).unwrap_or(u64::MAX);
-        let group = TaskGroup {
-            tasks,
-            gang,
-            priority: job.batch.priority,
-            ready_at,
-            due_ms,
-            claim: cx.claim,
-            slack: job.slack(cx.typical_duration),
-            max_rack_wait,
-            history: FailureHistory::default(),
-            latest_start_ms: due_ms.saturating_sub(expected_ms),
-            demand: Demand {
-                priority: job.batch.priority,
-                claim: cx.claim,
-                work: cores(&needs) * expected_duration.as_secs_f64() * count,
-                value_rate: job.value_rate,
-                expected: expected_duration + job.time_after_step(step),
-                accepted_ms: job.allowed_from_ms(occurrence),
-                due_ms: job.due_ms(occurrence),
-            },
-            has_turn: false,
-        };
+        let group = group_of(job, (occurrence, step), cx, tasks);
         if cx.worker_health {
             groups.extend(avoidance::split(cx.now, job, group));
         } else {
             groups.push(group);
         }
     }
+    has_more
+}
+
+/// Returns the group of waiting tasks of a step in an occurrence.
+fn group_of(
+    job: &mut Job,
+    (occurrence, step): (u32, u32),
+    cx: GroupContext,
+    tasks: Vec<TaskId>,
+) -> TaskGroup {
+    let key = (occurrence, step);
+    let ready_at = *job.ready_at.entry(key).or_insert(cx.now.monotonic);
+    let spec = &job.batch.steps[step as usize];
+    let expected_duration =
+        Duration::from_millis(spec.estimate_ms).max(cx.typical_duration);
+    let max_rack_wait = if cx.claim {
+        expected_duration.min(cx.max_claim_rack_wait)
+    } else {
+        expected_duration.mul_f64(cx.rack_patience)
+    };
+    let count = f64::from(u32::try_from(tasks.len()).unwrap_or(u32::MAX));
+    let due_ms = job.due_ms(occurrence);
+    let expected_ms =
+        u64::try_from(expected_duration.as_millis()).unwrap_or(u64::MAX);
+    TaskGroup {
+        tasks,
+        gang: spec.gang,
+        priority: job.batch.priority,
+        ready_at,
+        due_ms,
+        claim: cx.claim,
+        slack: job.slack(cx.typical_duration),
+        max_rack_wait,
+        history: FailureHistory::default(),
+        latest_start_ms: due_ms.saturating_sub(expected_ms),
+        demand: Demand {
+            priority: job.batch.priority,
+            claim: cx.claim,
+            work: cores(&spec.needs) * expected_duration.as_secs_f64() * count,
+            value_rate: job.value_rate,
+            expected: expected_duration + job.time_after_step(step),
+            accepted_ms: job.allowed_from_ms(occurrence),
+            due_ms,
+        },
+        has_turn: false,
+    }
 }
--- a/crates/coordination/src/scheduler/victims.rs
+++ b/crates/coordination/src/scheduler/victims.rs
@@ -217,13 +217,18 @@
     now: Now,
     limits: &Limits,
     job: &Job,
-    (_, occurrence, index): GangKey,
+    (id, occurrence, index): GangKey,
 ) -> (f64, f64) {
     let Some(step) = job.batch.steps.get(index as usize) else {
         return (f64::MAX, f64::MAX);
     };
-    let members = job.tasks_of(occurrence, index);
-    let runs = members.filter_map(|m| job.runs.get(&m));
+    let first = TaskId {
+        job: id,
+        occurrence,
+        step: index,
+        index: 0,
+    };
+    let runs = job.runs_of_step(first).map(|(_, run)| run);
     runs.fold((0.0, 0.0), |(remaining, lost), run| {
         let member_remaining = run_remaining_seconds(now, step, run);
         let member_loss = run_loss(now, limits, step, run);
@@ -245,9 +250,8 @@
     if !step.gang {
         return run_remaining_seconds(now, step, run);
     }
-    let members = job.tasks_of(task.occurrence, task.step);
-    let runs = members.filter_map(|m| job.runs.get(&m));
-    runs.map(|r| run_remaining_seconds(now, step, r))
+    job.runs_of_step(task)
+        .map(|(_, r)| run_remaining_seconds(now, step, r))
         .fold(0.0, f64::max)
 }
 
--- a/crates/coordination/src/scheduler/watch.rs
+++ b/crates/coordination/src/scheduler/watch.rs
@@ -1,14 +1,14 @@
 //! Detection of runs that are lost, are stuck, or cannot end before their
 //! worker leaves.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use figrill_state::{batch::TaskId, event::Code};
 
 use super::{
     Now, Scheduler,
     job::{Job, Phase, Run},
-    victims,
+    victims::{self, GangKey, gang_key},
     worker::RunResult,
 };
 
@@ -29,6 +29,36 @@
 /// How often [`STALL_TIMEOUT`] doubles for one task.
 const MAX_STALL_DOUBLINGS: u32 = 10;
 
+/// How far a gang is.
+#[derive(Clone, Copy)]
+struct GangState {
+    /// When any of its current runs last made progress.
+    progressed_at: Duration,
+    /// Whether all its members run.
+    is_complete: bool,
+    /// The progress of the member that is the farthest, in percent.
+    max_percent: u32,
+}
+
+impl GangState {
+    fn new(job: &Job, id: TaskId) -> Self {
+        let mut state = Self {
+            progressed_at: Duration::ZERO,
+            is_complete: false,
+            max_percent: 0,
+        };
+        let mut running = 0;
+        for (_, run) in job.runs_of_step(id) {
+            state.progressed_at = state.progressed_at.max(run.progressed_at);
+            state.max_percent = state.max_percent.max(run.percent);
+            running += u32::from(matches!(run.phase, Phase::Running { .. }));
+        }
+        let count = job.batch.step(id).map_or(0, |s| s.count);
+        state.is_complete = running == count;
+        state
+    }
+}
+
 impl Scheduler {
     /// Releases the runs on workers that were unreachable until all their
     /// grants had expired.
@@ -63,6 +93,7 @@
         let mut stalled_runs = Vec::new();
         let mut stranded = Vec::new();
         for job in self.jobs.values() {
+            let mut gangs: BTreeMap<GangKey, GangState> = BTreeMap::new();
             for (id, run) in &job.runs {
                 if run.stopping.is_some() {
                     continue;
@@ -84,22 +115,25 @@
                 let limit = stall_timeout(step.estimate_ms, stalls);
                 // Members of a gang end together: one that has done its
                 // share makes no more progress until the others have.
-                let progressed_at = if step.gang {
-                    job.gang_progressed_at(*id)
-                } else {
-                    run.progressed_at
-                };
+                let gang = step.gang.then(|| {
+                    let gang = gangs.entry(gang_key(*id));
+                    *gang.or_insert_with(|| GangState::new(job, *id))
+                });
+                let progressed_at =
+                    gang.map_or(run.progressed_at, |g| g.progressed_at);
                 let stalled = now.monotonic > progressed_at + limit;
                 let worker = self.workers.get(&run.agent);
                 let reachable =
                     worker.is_some_and(|w| w.is_reachable(now.monotonic));
                 let done = job.task(*id).is_some_and(|t| t.done);
                 // The members of a gang work only once all of them are there.
-                let at_work =
-                    is_running && (!step.gang || job.is_gang_complete(*id));
+                let at_work = is_running && gang.is_none_or(|g| g.is_complete);
                 if at_work && stalled && reachable && !step.persistent && !done
                 {
-                    let is_suspect = !step.gang || job.lags_in_gang(*id, run);
+                    // Members end together, so the others of a gang that has
+                    // come to a halt only wait for those that lag.
+                    let is_suspect =
+                        gang.is_none_or(|g| run.percent < g.max_percent);
                     stalled_runs.push((*id, run.agent.clone(), is_suspect));
                 }
             }
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod former_incarnations;
 mod gangs;
 mod given_up_starts;
+mod large_jobs;
 mod learnt_speeds;
 mod lost_workers;
 mod many_ends;
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -282,6 +282,8 @@
                 scheduler.set_queues(version, &catalog.queues);
             }
             self.handle_inputs(&mut scheduler, &mut directory, &inputs);
+            // Leases and acknowledgements don't wait for the planning pass.
+            self.perform_valid(&mut scheduler, term);
             self.operators.drains.pass_to(&mut scheduler, self.now());
             scheduler.tick(self.now());
             self.set_suspect_workers(scheduler.suspect_workers());
@@ -290,16 +292,12 @@
                 last_valid = valid;
                 self.record_validity(&mut scheduler, term, valid);
             }
-            // Actions that were decided under a lease that has expired since
-            // are not carried out. The scheduler repeats what is lost.
-            let actions = scheduler.take_actions();
-            if valid {
-                self.perform_all(actions);
-                if let Some(commit) = scheduler.take_commit(self.now()) {
-                    // The scheduler has at most one commit in flight, so the
-                    // queue has space.
-                    let _ = commits.send(commit);
-                }
+            if self.perform_valid(&mut scheduler, term)
+                && let Some(commit) = scheduler.take_commit(self.now())
+            {
+                // The scheduler has at most one commit in flight, so the
+                // queue has space.
+                let _ = commits.send(commit);
             }
             self.dial_and_heartbeat(&mut directory);
         }
@@ -307,6 +305,18 @@
         Ok(())
     }
 
+    /// Carries out the actions that the scheduler has decided, and returns
+    /// whether it did. Those that were decided under a lease that has expired
+    /// since are dropped; the scheduler repeats what is lost.
+    fn perform_valid(&self, scheduler: &mut Scheduler, term: &Term) -> bool {
+        let actions = scheduler.take_actions();
+        let valid = term.is_valid();
+        if valid {
+            self.perform_all(actions);
+        }
+        valid
+    }
+
     /// Records that the coordinator pauses because its lease may have expired,
     /// or that it continues because the lease turned out to be renewed. Agents
     /// that connected meanwhile have not been sent the fencing token.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -310,6 +310,42 @@
     site.wait_for_state(0, 1, "done", ADOPTION_LIMIT + WAIT_LIMIT);
 }
 
+/// Returns a job of two stages of single tasks. Each step of the second one
+/// comes after all steps of the first one.
+fn two_stages(first: usize, second: usize) -> serde_json::Value {
+    let step = json!({"count": 1, "cpu": 500, "gpu": 8, "estimate_ms": 900});
+    let mut last = step.clone();
+    last["after"] = (0..first).collect();
+    let mut steps = vec![step; first];
+    steps.extend(vec![last; second]);
+    json!({"spec": "ms=1000 cpu=500 gpu=8", "steps": steps})
+}
+
+// Guards against a coordinator that is busy with planning large jobs, and
+// starts nothing else, as in review/6.
+#[test]
+fn jobs_of_many_steps_do_not_hold_up_others() {
+    let site = start_site(1, 2);
+    for id in 1..=4 {
+        let large = two_stages(2000, 16);
+        assert_eq!(site.client.submit(site.entry(0), id, &large).status, 200);
+    }
+    thread::sleep(Duration::from_secs(2));
+    let small = job(1, 1, 100, false);
+    let answer = site.client.call(
+        "POST",
+        site.entry(0),
+        "/u/00000000000000ff",
+        Some(&small),
+    );
+    assert_eq!(answer.status, 200);
+    wait_for("the small job to be done", WAIT_LIMIT, || {
+        let path = "/u/00000000000000ff";
+        let answer = site.client.call("GET", site.entry(0), path, None);
+        (answer.body["state"] == "done").then_some(())
+    });
+}
+
 #[test]
 fn compaction_of_the_history_loses_no_job() {
     let site = start_site(1, 1);
