Backfill around reservations, and reserve for no end that does not come

Cause: a reservation counted on the end of a lasting task, by its estimate, and took all free capacity from later work in each planning pass. The same held for runs far over their estimate, which were expected to end at once for ever.

Now a reservation counts on no run that lasts, an overdue run is expected to exceed its estimate by as much again, and work that is expected to end before the reservation is needed uses its room. Longer work still waits, so the gang does not starve.

--- a/crates/coordination/src/scheduler/job/step_graph.rs
+++ b/crates/coordination/src/scheduler/job/step_graph.rs
@@ -130,5 +130,7 @@
         (needs.cpu_milli, needs.memory_mib, needs.accelerators),
         (gang_size, step.same_rack, step.max_per_worker),
         (&step.requires, &step.data_rack),
+        // A shorter task may use what is reserved for later.
+        (step.estimate_ms, step.persistent),
     )
 }
--- a/crates/coordination/src/scheduler/place.rs
+++ b/crates/coordination/src/scheduler/place.rs
@@ -5,9 +5,15 @@
 //! over (best fit), which keeps whole workers free. Tasks that run slower
 //! when they are spread over racks stay on one rack.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use figrill_state::batch::{Resources, Step};
+use figrill_state::{
+    batch::{Resources, Step},
+    runner::UpstreamState,
+};
 
 use super::speed::SpeedClass;
 use demand::Space;
@@ -16,6 +22,14 @@
 
 pub(super) use demand::{Band, SpeedDemand};
 
+/// Free resources that are held back for a group until others are free as well.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reservation {
+    resources: Resources,
+    /// The seconds until the group is expected to need them.
+    ready_in_s: f64,
+}
+
 /// A worker that may receive tasks, as seen by one planning pass.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
@@ -29,6 +43,8 @@
     /// can be reserved but not assigned.
     pub(super) expected: Resources,
     pub(super) capacity: Resources,
+    /// What is free and reserved.
+    pub(super) reservations: Vec<Reservation>,
     /// The number of tasks that it may still get.
     pub(super) max_tasks: u32,
     /// Its speed relative to the other workers.
@@ -37,6 +53,74 @@
     pub(super) speed_band: Band,
 }
 
+impl Candidate {
+    /// Returns a worker for which nothing is assigned or reserved yet.
+    pub(super) fn new(agent: &str, upstream: &UpstreamState) -> Self {
+        Self {
+            agent: agent.to_owned(),
+            service: upstream.service.clone(),
+            rack: upstream.rack.clone(),
+            labels: upstream.labels.clone(),
+            free: upstream.capacity,
+            expected: Resources::default(),
+            capacity: upstream.capacity,
+            reservations: Vec::new(),
+            max_tasks: u32::MAX,
+            speed_class: SpeedClass::default(),
+            speed_band: Band::default(),
+        }
+    }
+
+    /// Holds back free resources for a group that needs them in `ready_in_s`
+    /// seconds.
+    pub(super) fn reserve(&mut self, resources: &Resources, ready_in_s: f64) {
+        let free = self.free.minus(resources);
+        let resources = self.free.minus(&free);
+        self.free = free;
+        self.reservations.push(Reservation {
+            resources,
+            ready_in_s,
+        });
+    }
+
+    /// Makes the resources free that are reserved for later than `duration`
+    /// from now. Returns them, for [`Self::end_loan`].
+    pub(super) fn begin_loan(&mut self, duration: Duration) -> Loan {
+        let duration_s = duration.as_secs_f64();
+        let is_lent = |r: &mut Reservation| r.ready_in_s >= duration_s;
+        let mut loan = Loan::default();
+        for lent in self.reservations.extract_if(.., is_lent) {
+            loan.resources = loan.resources.plus(&lent.resources);
+            loan.ready_in_s = loan.ready_in_s.min(lent.ready_in_s);
+        }
+        self.free = self.free.plus(&loan.resources);
+        loan
+    }
+
+    /// Reserves the resources of a loan again that are still free.
+    pub(super) fn end_loan(&mut self, loan: &Loan) {
+        if loan.resources != Resources::default() {
+            self.reserve(&loan.resources, loan.ready_in_s);
+        }
+    }
+}
+
+/// Reserved resources that tasks may use which end before they are needed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Loan {
+    resources: Resources,
+    ready_in_s: f64,
+}
+
+impl Default for Loan {
+    fn default() -> Self {
+        Self {
+            resources: Resources::default(),
+            ready_in_s: f64::INFINITY,
+        }
+    }
+}
+
 /// Pairs of the index of a candidate and the number of tasks assigned to it.
 pub(super) type Assignment = Vec<(usize, u32)>;
 
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -14,7 +14,7 @@
 };
 
 use figrill_state::{
-    batch::{BatchId, Placement, Resources, TaskId},
+    batch::{BatchId, Placement, TaskId},
     event::Code,
 };
 
@@ -22,7 +22,9 @@
     Now, Scheduler,
     avoidance::FailureHistory,
     job::Job,
-    place::{Assignment, Candidate, PlacementRequest, SpeedDemand, scaled},
+    place::{
+        Assignment, Candidate, Loan, PlacementRequest, SpeedDemand, scaled,
+    },
     task_group::{GroupContext, TaskGroup, add_groups},
 };
 
@@ -82,7 +84,15 @@
             let placed = if shape.is_some_and(|s| full.contains(&s)) {
                 0
             } else {
-                self.place_group(now, group, &mut candidates)
+                let loans: Vec<Loan> = candidates
+                    .iter_mut()
+                    .map(|c| c.begin_loan(group.duration))
+                    .collect();
+                let placed = self.place_group(now, group, &mut candidates);
+                for (candidate, loan) in candidates.iter_mut().zip(&loans) {
+                    candidate.end_loan(loan);
+                }
+                placed
             };
             // What did not fit does not fit for later tasks of its shape.
             full.extend(shape.filter(|_| placed == 0));
@@ -261,16 +271,11 @@
             // hold up the acknowledgement that makes room in the list.
             .filter(|(_, w, _)| !w.ends_incomplete)
             .map(|(agent, worker, upstream)| Candidate {
-                agent: agent.clone(),
-                service: upstream.service.clone(),
-                rack: upstream.rack.clone(),
-                labels: upstream.labels.clone(),
                 free: worker.free(),
-                expected: Resources::default(),
-                capacity: upstream.capacity,
                 max_tasks: self.health.max_tasks(agent),
                 speed_class: self.speeds.speed_class(now.monotonic, agent),
                 speed_band: self.speed_band(now, agent),
+                ..Candidate::new(agent, upstream)
             })
             .collect()
     }
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -95,7 +95,8 @@
         } else {
             MAX_NORMAL_LOSS_FRACTION
         };
-        if !group.claim && total_cost(&options) > max_loss * self.work(group) {
+        let is_too_dear = total_cost(&options) > max_loss * self.work(group);
+        if !group.claim && is_too_dear {
             self.reserve(now, group, candidates, victims);
             return;
         }
@@ -168,8 +169,9 @@
         self.request_gang_stop(task, "a gang member is preempted");
     }
 
-    /// Reserves the capacity of options, so that later groups of this pass can
-    /// take neither what is free now nor what their victims free.
+    /// Reserves the capacity of options. Later groups of this pass can't take
+    /// what their victims free, and of what is free now only what they return
+    /// before the group needs it.
     fn reserve_options(
         &self,
         group: &TaskGroup,
@@ -181,6 +183,13 @@
         let Some(step) = job.and_then(|j| j.batch.step(group.first())) else {
             return;
         };
+        let ready_in_s = |option: &CapacityOption| {
+            if group.gang {
+                options.iter().map(|o| o.ready_in_s).fold(0.0, f64::max)
+            } else {
+                option.ready_in_s
+            }
+        };
         for option in options {
             let candidate = &mut candidates[option.candidate];
             let tasks: BTreeSet<TaskId> =
@@ -194,7 +203,7 @@
             let reserved = scaled(&step.needs, option.fit);
             candidate.max_tasks =
                 candidate.max_tasks.saturating_sub(option.fit);
-            candidate.free = candidate.free.minus(&reserved.minus(&expected));
+            candidate.reserve(&reserved.minus(&expected), ready_in_s(option));
             candidate.expected = expected.minus(&reserved);
         }
     }
--- a/crates/coordination/src/scheduler/reclaim/search.rs
+++ b/crates/coordination/src/scheduler/reclaim/search.rs
@@ -24,6 +24,8 @@
     pub(super) fit: u32,
     /// The runs that have to end.
     pub(super) victims: Vec<TaskId>,
+    /// The seconds until all of them have ended.
+    pub(super) ready_in_s: f64,
     /// The gangs among them.
     gangs: Vec<GangKey>,
     /// The loss by the policy's pricing, or the waiting time in seconds; only
@@ -256,7 +258,10 @@
     ) -> Option<f64> {
         match self.mode {
             FreeingMode::Wait if victim.stopping => Some(0.0),
-            FreeingMode::Wait => Some(victim.remaining_s),
+            // Capacity that never becomes free is no reason to hold any back.
+            FreeingMode::Wait => {
+                Some(victim.ends_in_s).filter(|s| s.is_finite())
+            }
             FreeingMode::Preempt(policy) => {
                 let is_stopped =
                     victim.gang.is_some_and(|g| stopped_gangs.contains(&g));
@@ -274,6 +279,18 @@
     ) -> CapacityOption {
         let mut gangs: Vec<GangKey> = Vec::new();
         let mut cost = 0.0;
+        let ends_in_s = |v: &Victim| match self.mode {
+            _ if v.stopping => 0.0,
+            FreeingMode::Wait => v.ends_in_s,
+            FreeingMode::Preempt(policy) if policy.lets_finish(v) => {
+                v.remaining_s
+            }
+            FreeingMode::Preempt(_) => 0.0,
+        };
+        let ready_in_s = victims
+            .iter()
+            .map(|(_, v)| ends_in_s(v))
+            .fold(0.0, f64::max);
         for (victim_cost, victim) in victims {
             // The loss of a gang counts once, however many members are here.
             let is_known = victim.gang.is_some_and(|g| gangs.contains(&g));
@@ -298,6 +315,7 @@
             candidate,
             fit,
             victims: victims.iter().map(|(_, v)| v.task).collect(),
+            ready_in_s,
             gangs,
             cost,
         }
--- a/crates/coordination/src/scheduler/task_group.rs
+++ b/crates/coordination/src/scheduler/task_group.rs
@@ -35,6 +35,9 @@
     /// How long it waits for capacity on one rack, if it is bound to one,
     /// before it is spread over several.
     pub(super) max_rack_wait: Duration,
+    /// How long its tasks are expected to run. Unlimited if that is not known,
+    /// and for tasks that last.
+    pub(super) duration: Duration,
     /// How its tasks have failed so far.
     pub(super) history: FailureHistory,
     /// When it has to start to meet its deadline, in milliseconds since 1970.
@@ -149,6 +152,11 @@
         claim: cx.claim,
         slack: job.slack(cx.typical_duration),
         max_rack_wait,
+        duration: if spec.persistent || expected_duration.is_zero() {
+            Duration::MAX
+        } else {
+            expected_duration
+        },
         history: FailureHistory::default(),
         latest_start_ms: due_ms.saturating_sub(expected_ms),
         demand: Demand {
--- a/crates/coordination/src/scheduler/victims.rs
+++ b/crates/coordination/src/scheduler/victims.rs
@@ -41,8 +41,12 @@
     /// The gang that it is a member of, which ends with it.
     pub(super) gang: Option<GangKey>,
     pub(super) needs: Resources,
-    /// The seconds until it, or its whole gang, is expected to end.
+    /// The seconds until it, or its whole gang, is expected to end; infinite
+    /// for runs that last until they are stopped.
     pub(super) remaining_s: f64,
+    /// The seconds after which a reservation may count on its end. More than
+    /// `remaining_s` for a run that takes longer than expected.
+    pub(super) ends_in_s: f64,
     /// The core-seconds of work that are lost if it is stopped, together with
     /// its gang.
     pub(super) lost: f64,
@@ -102,27 +106,25 @@
     ) -> Victims {
         let mut by_agent: BTreeMap<String, Vec<Victim>> = BTreeMap::new();
         for job in self.jobs.values() {
-            let mut gangs: BTreeMap<GangKey, (f64, f64)> = BTreeMap::new();
+            let mut gangs: BTreeMap<GangKey, Outlook> = BTreeMap::new();
             let mut steps: BTreeMap<GangKey, StepValue> = BTreeMap::new();
             for (task, run) in &job.runs {
                 let Some(step) = job.batch.step(*task) else {
                     continue;
                 };
                 let gang = step.gang.then(|| gang_key(*task));
-                let (remaining_s, lost) = match gang {
+                let outlook = match gang {
                     Some(key) => *gangs.entry(key).or_insert_with(|| {
-                        gang_totals(now, &self.limits, job, key)
+                        gang_outlook(now, &self.limits, job, key)
                     }),
-                    None => (
-                        run_remaining_seconds(now, step, run),
-                        run_loss(now, &self.limits, step, run),
-                    ),
+                    None => Outlook::new(now, &self.limits, step, run),
                 };
                 let value = if self.features.delay_cost {
                     let key = gang_key(*task);
                     let of_step = steps.entry(key).or_insert_with(|| {
                         StepValue::new(now, job, step, key)
                     });
+                    let remaining_s = outlook.remaining_s;
                     of_step.of_run(&self.limits, job, *task, remaining_s)
                 } else {
                     VictimValue::default()
@@ -131,8 +133,13 @@
                     task: *task,
                     gang,
                     needs: step.needs,
-                    remaining_s,
-                    lost,
+                    remaining_s: if step.persistent {
+                        f64::INFINITY
+                    } else {
+                        outlook.remaining_s
+                    },
+                    ends_in_s: outlook.ends_in_s,
+                    lost: outlook.lost,
                     priority: job.batch.priority,
                     claim: claims.contains(&job.batch.id),
                     stopping: run.stopping.is_some(),
@@ -211,29 +218,60 @@
     }
 }
 
-/// Returns the seconds until the last member of a gang is expected to end,
-/// and the core-seconds that are lost if the gang is stopped.
-fn gang_totals(
+/// What becomes of a run, or of a whole gang.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outlook {
+    /// The seconds until it is expected to end.
+    remaining_s: f64,
+    /// The seconds after which its end can be counted on.
+    ends_in_s: f64,
+    /// The core-seconds that are lost if it is stopped.
+    lost: f64,
+}
+
+impl Outlook {
+    fn new(now: Now, limits: &Limits, step: &Step, run: &Run) -> Self {
+        let remaining_s = run_remaining_seconds(now, step, run);
+        let ends_in_s = if step.persistent {
+            f64::INFINITY
+        } else {
+            remaining_s.max(overrun_seconds(now, step, run))
+        };
+        Self {
+            remaining_s,
+            ends_in_s,
+            lost: run_loss(now, limits, step, run),
+        }
+    }
+
+    fn and(self, other: Self) -> Self {
+        Self {
+            remaining_s: self.remaining_s.max(other.remaining_s),
+            ends_in_s: self.ends_in_s.max(other.ends_in_s),
+            lost: self.lost + other.lost,
+        }
+    }
+}
+
+/// Returns the outlook of a gang, whose members end together.
+fn gang_outlook(
     now: Now,
     limits: &Limits,
     job: &Job,
     (id, occurrence, index): GangKey,
-) -> (f64, f64) {
-    let Some(step) = job.batch.steps.get(index as usize) else {
-        return (f64::MAX, f64::MAX);
-    };
+) -> Outlook {
     let first = TaskId {
         job: id,
         occurrence,
         step: index,
         index: 0,
     };
-    let runs = job.runs_of_step(first).map(|(_, run)| run);
-    runs.fold((0.0, 0.0), |(remaining, lost), run| {
-        let member_remaining = run_remaining_seconds(now, step, run);
-        let member_loss = run_loss(now, limits, step, run);
-        (f64::max(remaining, member_remaining), lost + member_loss)
-    })
+    let Some(step) = job.batch.step(first) else {
+        return Outlook::default();
+    };
+    job.runs_of_step(first)
+        .map(|(_, run)| Outlook::new(now, limits, step, run))
+        .fold(Outlook::default(), Outlook::and)
 }
 
 /// Returns the seconds until a run is expected to end, or its gang if it is a
@@ -270,6 +308,20 @@
     (estimate * (1.0 - done)).max(MIN_REMAINING_S)
 }
 
+/// Returns by how many seconds a run has exceeded its estimate, unless its
+/// progress says when it ends. Nothing is known of such a run but how long it
+/// has taken, so it is expected to take that long again.
+fn overrun_seconds(now: Now, step: &Step, run: &Run) -> f64 {
+    let gained = run.percent.saturating_sub(run.initial_percent);
+    if f64::from(gained) / 100.0 >= MIN_MEASURED_PROGRESS {
+        return 0.0;
+    }
+    let started_at = run.ordered_at.unwrap_or(run.placed_at);
+    let spent = now.monotonic.saturating_sub(started_at);
+    let estimate = Duration::from_millis(step.estimate_ms);
+    spent.saturating_sub(estimate).as_secs_f64()
+}
+
 /// Returns the core-seconds of work that are lost if a single run is stopped.
 /// A run that checkpoints also does so when it is stopped, and then loses only
 /// the time to resume.
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -24,6 +24,7 @@
 mod queues;
 mod random_faults;
 mod removals;
+mod reservations;
 mod restarts;
 mod sim;
 mod speed_load;
