Keep the record of every accepted job within the store's limit

Cause: the progress of a job is one record with every task of every due occurrence, done ones as well, and each placed task named its agent and incarnation in full. Beyond 1 MiB the job was given up.

Now the record has done occurrences as ranges and names each placement once. At most 8,192 tasks, or one occurrence, are open at a time, whose largest record is below 1 MiB. If it is too large all the same, it is written without checkpoints before the job is given up. Records of earlier builds are read.

--- a/crates/coordination/src/scheduler/commit.rs
+++ b/crates/coordination/src/scheduler/commit.rs
@@ -272,13 +272,22 @@
         self.actions.push(Action::RecordEvent(event));
     }
 
-    /// Ends a job whose progress the store does not accept, so that all other
-    /// jobs go on. From then on its record has only its state.
+    /// Handles that the store does not accept the progress of a job. It is
+    /// written without the checkpoints from then on, which only save work. If
+    /// that is not accepted either, the job ends, so that all other jobs go on;
+    /// its record has only its state then.
     fn end_unstorable_job(&mut self, now: Now, id: BatchId, why: &str) {
         let Some(job) = self.jobs.get_mut(&id) else {
             self.dirty.remove(&id);
             return;
         };
+        if !job.leaves_out_checkpoints {
+            job.leaves_out_checkpoints = true;
+            let detail = format!("what=checkpoints why={why}");
+            self.record_event(Code::RecordRejected, id, &detail);
+            self.dirty.insert(id);
+            return;
+        }
         if job.is_unstorable {
             // There is no smaller record, so this one is given up.
             self.dirty.remove(&id);
--- a/crates/coordination/src/scheduler/endings.rs
+++ b/crates/coordination/src/scheduler/endings.rs
@@ -133,7 +133,7 @@
         let runs: Vec<TaskId> = job
             .runs
             .iter()
-            .filter(|(task, _)| !job.task(**task).is_some_and(|t| t.done))
+            .filter(|(task, _)| !job.is_task_done(**task))
             .map(|(task, _)| *task)
             .collect();
         for task in runs {
@@ -176,7 +176,7 @@
         }
         let members: Vec<TaskId> = job
             .tasks_of(id.occurrence, id.step)
-            .filter(|t| !job.task(*t).is_some_and(|p| p.done))
+            .filter(|t| !job.is_task_done(*t))
             .collect();
         for member in members {
             self.request_stop(member, reason);
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -57,6 +57,9 @@
     /// How often each task, or the gang with this first member, was preempted
     /// under this coordinator.
     preemptions: BTreeMap<TaskId, u32>,
+    /// Whether the record of the job's progress leaves out the checkpoints,
+    /// because the store does not accept it with them.
+    pub(super) leaves_out_checkpoints: bool,
     /// Whether the store does not accept the job's progress.
     pub(super) is_unstorable: bool,
     /// The value of a core-second of its work to its caller.
@@ -78,10 +81,11 @@
             has_progressed: false,
             stalls: BTreeMap::new(),
             preemptions: BTreeMap::new(),
+            leaves_out_checkpoints: false,
             is_unstorable: false,
             value_rate: 0.0,
         };
-        let last = job.progress.tasks.last_key_value().map(|(k, _)| *k);
+        let last = job.progress.last_occurrence();
         while last.is_some_and(|last| job.frontier.opened() <= last) {
             job.open_occurrence();
         }
@@ -90,16 +94,22 @@
     }
 
     /// Opens the occurrences that are due, so that their tasks wait to be
-    /// placed.
+    /// placed. If there are too many at a time, the later ones wait for the
+    /// earlier ones.
     pub(super) fn open_due(&mut self, wall_ms: u64) {
         while self.frontier.opened() < self.batch.occurrences()
             && self.batch.due_ms(self.frontier.opened()) <= wall_ms
+            && self.frontier.has_room(&self.graph)
         {
             self.open_occurrence();
         }
     }
 
     fn open_occurrence(&mut self) {
+        if self.progress.is_occurrence_done(self.frontier.opened()) {
+            self.frontier.skip_done();
+            return;
+        }
         let tasks = self.progress.tasks.get(&self.frontier.opened());
         self.frontier.open_next(&self.graph, |step, index| {
             let of_step = tasks.and_then(|steps| steps.get(step as usize));
@@ -143,6 +153,7 @@
     /// Returns whether a task is done.
     pub(super) fn is_task_done(&self, task: TaskId) -> bool {
         self.task(task).is_some_and(|t| t.done)
+            || self.progress.is_occurrence_done(task.occurrence)
     }
 
     /// Marks a task as done.
@@ -170,29 +181,43 @@
             };
             !other.is_some_and(|t| t.done) && !runs.contains_key(&id)
         });
+        if !frontier.is_open(task.occurrence) {
+            progress.finish_occurrence(task.occurrence);
+            let of_occurrence =
+                |(occurrence, _): &StepKey| *occurrence == task.occurrence;
+            self.ready_at.retain(|key, _| !of_occurrence(key));
+        }
     }
 
     /// Returns the progress that is written to the store.
     pub(super) fn stored_progress(&self) -> Cow<'_, Progress> {
-        if !self.is_unstorable {
+        if self.is_unstorable {
+            let mut state = Progress::default();
+            state.state = self.progress.state;
+            state.ended_ms = self.progress.ended_ms;
+            return Cow::Owned(state);
+        }
+        if !self.leaves_out_checkpoints {
             return Cow::Borrowed(&self.progress);
         }
-        Cow::Owned(Progress {
-            state: self.progress.state,
-            tasks: BTreeMap::new(),
-            ended_ms: self.progress.ended_ms,
-            service: self.progress.service.clone(),
-        })
+        let mut progress = self.progress.clone();
+        for task in progress.tasks.values_mut().flatten().flatten() {
+            task.checkpoint.clear();
+        }
+        Cow::Owned(progress)
     }
 
     /// Returns the progress of a task, and creates it if there is none yet.
-    /// Returns `None` for a task that the job does not have.
+    /// Returns `None` for a task that the job does not have, and if its
+    /// occurrence is done.
     pub(super) fn task_mut(
         &mut self,
         task: TaskId,
     ) -> Option<&mut TaskProgress> {
         let steps = &self.batch.steps;
-        if task.occurrence >= self.batch.occurrences() {
+        if task.occurrence >= self.batch.occurrences()
+            || self.progress.is_occurrence_done(task.occurrence)
+        {
             return None;
         }
         let tasks_by_step = self.progress.tasks.entry(task.occurrence);
--- a/crates/coordination/src/scheduler/job/frontier.rs
+++ b/crates/coordination/src/scheduler/job/frontier.rs
@@ -11,6 +11,11 @@
 /// The maximum number of steps of one job that a planning pass looks at.
 const MAX_STEPS_PER_PASS: usize = 64;
 
+/// The maximum number of tasks in the open occurrences of a job, unless there
+/// is only one. The record of a job has all of them, at most some 100 bytes
+/// each, and the store accepts no larger ones than 1 MiB.
+const MAX_OPEN_TASKS: u64 = 8192;
+
 /// An occurrence and the index of a step in it.
 pub(in super::super) type StepKey = (u32, u32);
 
@@ -53,6 +58,25 @@
         self.done
     }
 
+    /// Returns whether an occurrence is open: due and not done.
+    pub(super) fn is_open(&self, occurrence: u32) -> bool {
+        self.open.contains_key(&occurrence)
+    }
+
+    /// Returns whether another occurrence may be open.
+    pub(super) fn has_room(&self, graph: &StepGraph) -> bool {
+        let tasks = graph.counts().iter().map(|count| u64::from(*count));
+        let tasks: u64 = tasks.sum();
+        let open = u64::try_from(self.open.len()).unwrap_or(u64::MAX);
+        open == 0 || open.saturating_add(1) * tasks <= MAX_OPEN_TASKS
+    }
+
+    /// Passes over the next occurrence, which is done.
+    pub(super) fn skip_done(&mut self) {
+        self.opened += 1;
+        self.done += 1;
+    }
+
     /// Opens the next occurrence. `is_done` tells which of its tasks are done.
     pub(super) fn open_next(
         &mut self,
--- a/crates/coordination/src/scheduler/victims.rs
+++ b/crates/coordination/src/scheduler/victims.rs
@@ -180,7 +180,7 @@
             .saturating_sub(job.time_after_step(index));
         let open_tasks = job
             .tasks_of(occurrence, index)
-            .filter(|t| !job.task(*t).is_some_and(|p| p.done))
+            .filter(|t| !job.is_task_done(*t))
             .count();
         let open_tasks =
             f64::from(u32::try_from(open_tasks).unwrap_or(u32::MAX));
--- a/crates/coordination/src/scheduler/watch.rs
+++ b/crates/coordination/src/scheduler/watch.rs
@@ -125,7 +125,7 @@
                 let worker = self.workers.get(&run.agent);
                 let reachable =
                     worker.is_some_and(|w| w.is_reachable(now.monotonic));
-                let done = job.task(*id).is_some_and(|t| t.done);
+                let done = job.is_task_done(*id);
                 // The members of a gang work only once all of them are there.
                 let at_work = is_running && gang.is_none_or(|g| g.is_complete);
                 if at_work && stalled && reachable && !step.persistent && !done
--- a/crates/coordination/tests/fleet/large_jobs.rs
+++ b/crates/coordination/tests/fleet/large_jobs.rs
@@ -167,3 +167,60 @@
     }
     assert_no_violations(&sim, "large jobs");
 }
+
+/// Returns a job of `count` small tasks, which is due `times` times at an
+/// interval of two seconds from the beginning on.
+fn timed(sim: &Sim, count: u32, times: u32) -> Batch {
+    let mut batch = job(1, 1, count, 0, 1000);
+    "ms=1000 cpu=100 mem=100 gpu=0".clone_into(&mut batch.payload);
+    batch.steps[0].needs.cpu_milli = 100;
+    batch.steps[0].needs.memory_mib = 100;
+    batch.schedule = Some(Schedule {
+        first_ms: sim.now().wall_ms + 500,
+        every_ms: 2000,
+        times,
+    });
+    batch
+}
+
+// Guards against a job that is shown as failed, though no run has failed: two
+// occurrences that come due in an outage of the store make a record that it
+// does not accept, as in review/9.
+#[test]
+fn occurrences_that_come_due_in_an_outage_can_be_stored() {
+    let mut sim = Sim::new(8, 1);
+    sim.max_value_bytes = 30_000;
+    sim.run(500);
+    let batch = timed(&sim, 300, 6);
+    sim.submit(batch);
+    sim.run(7000);
+    sim.store_up = false;
+    sim.run(4500);
+    sim.store_up = true;
+    assert!(sim.run_until(60_000, Sim::all_ended));
+    assert_eq!(sim.state(BatchId(1)), BatchState::Done);
+    assert_eq!(count_events(&sim, "done"), 1800);
+    assert_no_violations(&sim, "outage");
+}
+
+// Guards against the same for a job of many occurrences that are all due.
+#[test]
+fn a_job_of_many_due_occurrences_can_be_stored() {
+    for takeover in [false, true] {
+        let mut sim = Sim::new(2, 1);
+        sim.max_value_bytes = 30_000;
+        sim.run(500);
+        let mut batch = due_occurrences(2000);
+        batch.steps[0].needs.accelerators = 1;
+        batch.payload = "ms=30 cpu=1000 mem=1000 gpu=1".to_owned();
+        sim.submit(batch);
+        sim.run(2000);
+        if takeover {
+            sim.take_over();
+        }
+        assert!(sim.run_until(60_000, Sim::all_ended));
+        assert_eq!(sim.state(BatchId(1)), BatchState::Done);
+        assert_eq!(count_events(&sim, "done"), 2000);
+        assert_no_violations(&sim, "due occurrences");
+    }
+}
--- a/crates/state/src/batch.rs
+++ b/crates/state/src/batch.rs
@@ -9,8 +9,10 @@
 use serde::{Deserialize, Serialize};
 
 mod check;
+mod progress;
 
 pub use check::{decode_job, decode_progress};
+pub use progress::{Progress, TaskProgress};
 
 /// An amount of resources: the needs of a task, the capacity of a worker, or a
 /// sum of either.
@@ -304,7 +306,9 @@
 }
 
 /// The placement of a run.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(
+    Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
 pub struct Placement {
     /// The agent of the worker.
     pub agent: String,
@@ -312,54 +316,6 @@
     pub upstream: Incarnation,
 }
 
-/// The progress of a task.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct TaskProgress {
-    /// The highest number of a run that may have been ordered; 0 if there is
-    /// none.
-    #[serde(rename = "r", skip_serializing_if = "is_default")]
-    pub run: u32,
-    /// Where that run may be active; `None` once it has certainly ended.
-    #[serde(rename = "p", skip_serializing_if = "Option::is_none")]
-    pub placement: Option<Placement>,
-    /// Whether the task is done.
-    #[serde(rename = "d", skip_serializing_if = "is_default")]
-    pub done: bool,
-    /// The number of failed runs. For a gang, it is counted on the first
-    /// task.
-    #[serde(rename = "f", skip_serializing_if = "is_default")]
-    pub failures: u32,
-    /// The last run that was counted in `failures`, so that none is counted
-    /// twice.
-    #[serde(rename = "g", skip_serializing_if = "is_default")]
-    pub failed_run: u32,
-    /// The latest known checkpoint; empty if there is none.
-    #[serde(rename = "c", skip_serializing_if = "String::is_empty")]
-    pub checkpoint: String,
-}
-
-/// Returns whether a field has its default value and is left out of a record.
-/// Most fields have it, and jobs have up to thousands of tasks.
-fn is_default<T: Default + PartialEq>(value: &T) -> bool {
-    *value == T::default()
-}
-
-/// The progress of a job, written by the coordinator.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Progress {
-    /// The state reported to callers.
-    pub state: BatchState,
-    /// The tasks by occurrence, step and index.
-    pub tasks: BTreeMap<u32, Vec<Vec<TaskProgress>>>,
-    /// When the job ended, in milliseconds since the Unix epoch; 0 until then.
-    pub ended_ms: u64,
-    /// The service that runs the job since its queue was moved; empty if that
-    /// is the one of the job's record.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub service: String,
-}
-
 /// The record that the coordinator writes with every commit of job progress.
 /// It identifies the commit, and entries read the lengths of the queues from
 /// it.
--- a/crates/state/src/batch/check.rs
+++ b/crates/state/src/batch/check.rs
@@ -111,7 +111,13 @@
         *occurrence < batch.occurrences()
             && counts.eq(batch.steps.iter().map(|s| s.count as usize))
     };
-    if !progress.tasks.iter().all(has_tasks) {
+    let last = progress.last_occurrence();
+    let is_beyond = last.is_some_and(|k| k >= batch.occurrences());
+    let is_open = |k: &u32| !progress.is_occurrence_done(*k);
+    if is_beyond
+        || !progress.tasks.iter().all(has_tasks)
+        || !progress.tasks.keys().all(is_open)
+    {
         return Err(BadRecord("its tasks are not the job's".to_owned()));
     }
     let in_range =
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -118,7 +118,7 @@
     ReclaimStarted 2012 Info "borrowed capacity is being returned to its workspace",
     WriteUnsettled 2013 Info "the store did not answer a write for a job, which may still take effect",
     JobStarted 2014 Debug "the first task of a job has started, so the job is no longer queued",
-    RecordRejected 2015 Error "the store does not accept a record of a job; the job ends, and all others go on",
+    RecordRejected 2015 Error "the store does not accept a record of a job; it is written without checkpoints, or the job ends, and all others go on",
     PreemptionDeclined 2016 Debug "waiting work would gain too little by preempting runs, so it waits for capacity that becomes free",
     JobMoved 2017 Info "the queue of a job belongs to another service, which runs what has not started of the job",
     JobOversized 2020 Warn "a task of a job needs more than any worker of its service has offered, so the job may never run",
