Let earlier builds refuse records that they would misunderstand

A coordinator of an earlier build would take the occurrences that a record leaves out as done, and placements that are named by an index, for new ones, and run their tasks again. It reads such records while entries are replaced one by one.

Now a record keeps the former form while it has no occurrence that is done and at most 100 placements. Otherwise it has `open` in place of `tasks`, without which an earlier build refuses it and leaves the job to a later coordinator.

Processes of two builds were not run.

--- a/crates/state/src/batch/progress.rs
+++ b/crates/state/src/batch/progress.rs
@@ -2,6 +2,10 @@
 //!
 //! A job has one record, which the store limits in size. So the record leaves
 //! out the tasks of occurrences that are done, and names each worker once.
+//!
+//! Earlier builds do not know this form. They refuse it, because it has `open`
+//! where they expect `tasks`, and leave the job to a later coordinator. A record
+//! that does not need the new form has the former one.
 
 use std::collections::BTreeMap;
 
@@ -9,6 +13,9 @@
 
 use super::{BatchState, Placement};
 
+/// The maximum number of placements that are written in full.
+const MAX_INLINE_PLACEMENTS: usize = 100;
+
 /// The progress of a task.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct TaskProgress {
@@ -97,7 +104,12 @@
 #[derive(Serialize, Deserialize)]
 struct ProgressRecord {
     state: BatchState,
-    tasks: BTreeMap<u32, Vec<Vec<TaskRecord>>>,
+    /// The tasks by occurrence, step and index, in the form of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    tasks: Option<TaskRecords>,
+    /// The same if `done` or `placements` are used.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    open: Option<TaskRecords>,
     ended_ms: u64,
     #[serde(default, skip_serializing_if = "String::is_empty")]
     service: String,
@@ -108,12 +120,14 @@
     placements: Vec<Placement>,
 }
 
+type TaskRecords = BTreeMap<u32, Vec<Vec<TaskRecord>>>;
+
 #[derive(Default, Serialize, Deserialize)]
 #[serde(default)]
 struct TaskRecord {
     #[serde(rename = "r", skip_serializing_if = "is_default")]
     run: u32,
-    /// The placement itself, in records of earlier builds.
+    /// The placement itself, in the form of earlier builds.
     #[serde(rename = "p", skip_serializing_if = "Option::is_none")]
     placement: Option<Placement>,
     /// The index of the placement.
@@ -133,38 +147,64 @@
     *value == T::default()
 }
 
+impl TaskRecord {
+    /// Returns the record of a task. `index_of` gives a placement its index;
+    /// without it, the placement is written in full.
+    fn new(
+        task: TaskProgress,
+        index_of: Option<&mut impl FnMut(Placement) -> usize>,
+    ) -> Self {
+        let (placement, placement_index) = match (task.placement, index_of) {
+            (Some(placement), Some(index_of)) => {
+                (None, Some(index_of(placement)))
+            }
+            (placement, _) => (placement, None),
+        };
+        Self {
+            run: task.run,
+            placement,
+            placement_index,
+            done: task.done,
+            failures: task.failures,
+            failed_run: task.failed_run,
+            checkpoint: task.checkpoint,
+        }
+    }
+}
+
 impl From<Progress> for ProgressRecord {
     fn from(v: Progress) -> Self {
+        let all = v.tasks.values().flatten().flatten();
+        let placed = all.filter(|t| t.placement.is_some()).count();
+        let is_former = v.done.is_empty() && placed <= MAX_INLINE_PLACEMENTS;
         let mut indices: BTreeMap<Placement, usize> = BTreeMap::new();
-        let mut task_record = |task: TaskProgress| {
-            let placement_index = task.placement.map(|placement| {
-                let next = indices.len();
-                *indices.entry(placement).or_insert(next)
-            });
-            TaskRecord {
-                run: task.run,
-                placement: None,
-                placement_index,
-                done: task.done,
-                failures: task.failures,
-                failed_run: task.failed_run,
-                checkpoint: task.checkpoint,
-            }
+        let mut index_of = |placement| {
+            let next = indices.len();
+            *indices.entry(placement).or_insert(next)
         };
-        let mut step_records = |tasks: Vec<TaskProgress>| {
-            tasks.into_iter().map(&mut task_record).collect()
-        };
-        let tasks = v.tasks.into_iter().map(|(occurrence, steps)| {
-            let steps = steps.into_iter().map(&mut step_records).collect();
-            (occurrence, steps)
-        });
-        let tasks = tasks.collect();
+        let mut records = TaskRecords::new();
+        for (occurrence, steps) in v.tasks {
+            let steps = steps.into_iter().map(|tasks| {
+                let tasks = tasks.into_iter().map(|task| {
+                    let index_of = (!is_former).then_some(&mut index_of);
+                    TaskRecord::new(task, index_of)
+                });
+                tasks.collect()
+            });
+            records.insert(occurrence, steps.collect());
+        }
         let mut placements: Vec<(usize, Placement)> =
             indices.into_iter().map(|(p, index)| (index, p)).collect();
         placements.sort_unstable_by_key(|(index, _)| *index);
+        let (tasks, open) = if is_former {
+            (Some(records), None)
+        } else {
+            (None, Some(records))
+        };
         Self {
             state: v.state,
             tasks,
+            open,
             ended_ms: v.ended_ms,
             service: v.service,
             done: v.done,
@@ -194,8 +234,13 @@
                 checkpoint: task.checkpoint,
             })
         };
+        let ((Some(records), None) | (None, Some(records))) =
+            (w.tasks, w.open)
+        else {
+            return Err("it has no tasks, or has them twice".to_owned());
+        };
         let mut tasks = BTreeMap::new();
-        for (occurrence, steps) in w.tasks {
+        for (occurrence, steps) in records {
             let steps: Result<Vec<Vec<TaskProgress>>, String> = steps
                 .into_iter()
                 .map(|tasks| tasks.into_iter().map(task).collect())
--- a/crates/state/tests/progress_records.rs
+++ b/crates/state/tests/progress_records.rs
@@ -5,7 +5,7 @@
     Batch, BatchId, Incarnation, Placement, Progress, Schedule, Step,
     TaskProgress, decode_progress, encode,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// The maximum size of a value in the store, in bytes.
 const MAX_VALUE_BYTES: usize = 1 << 20;
@@ -148,6 +148,27 @@
     assert!(progress.tasks[&0][0].iter().all(|t| t.done));
 }
 
+// Guards against a coordinator of an earlier build that takes occurrences that
+// are done, or runs that exist, for new ones: it needs the field `tasks`.
+#[test]
+fn earlier_builds_refuse_what_they_would_misunderstand() {
+    let field = |progress: &Progress, name: &str| {
+        let record: Value = serde_json::from_slice(&encode(progress))
+            .expect("a record is JSON");
+        record.get(name).is_some()
+    };
+    let mut progress = Progress::default();
+    assert!(field(&progress, "tasks"));
+    let tasks = |count| vec![(0..count).map(placed_task).collect()];
+    progress.tasks.insert(0, tasks(50));
+    assert!(field(&progress, "tasks") && !field(&progress, "placements"));
+    progress.tasks.insert(1, tasks(200));
+    assert!(!field(&progress, "tasks") && field(&progress, "placements"));
+    progress.tasks.clear();
+    progress.finish_occurrence(0);
+    assert!(!field(&progress, "tasks") && field(&progress, "done"));
+}
+
 #[test]
 fn records_that_contradict_themselves_are_refused() {
     let cases = [
@@ -156,6 +177,8 @@
         json!({"tasks": {}, "done": [[1, 0]]}),
         json!({"tasks": {}, "done": [[0, 1], [1, 2]]}),
         json!({"tasks": {}, "done": [[0, 3]]}),
+        json!({"tasks": {}, "open": {}}),
+        json!({}),
     ];
     for mut record in cases {
         record["state"] = json!("running");
