--- a/review/third/src/case_11.rs
+++ b/review/third/src/case_11.rs
@@ -7,10 +7,18 @@
 use figrill_standin::platform::workers::{Delay, Share, Successor};
 
 use crate::{
-    installation::{Installation, plain_job, wait_until},
+    installation::{Installation, Plan, plain_job, wait_until},
     record::{Outcome, Record, run_events, twice},
 };
 
+/// The installation.
+const PLAN: Plan = Plan {
+    entries: 2,
+    agents: 3,
+    max_lease_ms: 10_000,
+    can_suspend: false,
+};
+
 /// The id of the job.
 const JOB_ID: u64 = 0x11;
 
@@ -30,6 +38,13 @@
 /// The age that workers have at least when the job is sent.
 const WARM_UP: Duration = Duration::from_secs(4);
 
+/// The number of attempts at an order that is not answered.
+const ATTEMPTS: usize = 3;
+
+/// The ids of the other jobs, whose orders are answered: so at most half of
+/// the orders are not.
+const OTHER_JOBS: std::ops::Range<u64> = 0x21..0x29;
+
 /// The time limit for the job to be done.
 const DONE_LIMIT: Duration = Duration::from_secs(20);
 
@@ -46,7 +61,7 @@
     trouble: bool,
     record: &mut Record,
 ) -> Result<Outcome, String> {
-    let site = Installation::start(program, 2, 3)?;
+    let site = Installation::start(program, PLAN)?;
     thread::sleep(WARM_UP);
     let names: Vec<&str> =
         site.agents.iter().map(|a| a.name.as_str()).collect();
@@ -78,7 +93,13 @@
             site.workers.delay_calls(name, None);
         }
         record.note(&format!("orders are left unanswered at {victim:?}"));
+        let name = victim.unwrap_or_default();
+        wait_until(DONE_LIMIT, || {
+            site.workers.delayed_calls(name) == ATTEMPTS
+        })?;
+        site.workers.delay_calls(name, None);
     }
+    send_other_jobs(&site, record);
     wait_until(DONE_LIMIT, || site.client.state(entry, JOB_ID) == "done")?;
     record.note("GET of the job: done");
     if let Some(name) = victim {
@@ -95,13 +116,21 @@
     Ok(broken.map_or(Outcome::Held, Outcome::Broken))
 }
 
+/// Sends the other jobs, of one short subtask each.
+fn send_other_jobs(site: &Installation, record: &mut Record) {
+    for id in OTHER_JOBS {
+        let entry = site.entries[1].address;
+        let answer = site.client.submit(entry, id, &plain_job(1, 50));
+        record.note(&format!("POST of another job: {}", answer.status));
+    }
+}
+
 /// Has a worker crash and come back under its id, and waits meanwhile.
 fn crash_and_return(
     site: &Installation,
     name: &str,
     record: &mut Record,
 ) -> Result<(), String> {
-    site.workers.delay_calls(name, None);
     site.workers.crash(name);
     record.note(&format!("the worker of {name} crashes"));
     thread::sleep(DOWN_TIME);
--- a/review/third/src/installation.rs
+++ b/review/third/src/installation.rs
@@ -3,7 +3,7 @@
 //! the workers.
 
 use std::{
-    env, fs,
+    env, fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
     thread,
@@ -15,10 +15,11 @@
     platform::{
         client::Client,
         site::{API_KEY, configuration},
-        store,
+        store::{self, Endpoint, Outage},
         workers::Workers,
     },
     process::Process,
+    proxy::Proxy,
 };
 use figrill_state::{
     kv::{Kv, Txn, memory::MemoryKv},
@@ -26,6 +27,8 @@
 };
 use serde_json::{Value, json};
 
+use crate::worker::Worker;
+
 /// The time limit for the installation to serve its first jobs.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -45,7 +48,6 @@
 claim_start_ms = 2900
 stop_grace_ms = 400
 gang_assembly_ms = 3000
-max_lease_ms = 10000
 checkpoint_restore_ms = 100
 shutdown_grace_s = 6
 processor_share = 0.25
@@ -58,13 +60,57 @@
 retry_outlook = on
 ";
 
+/// The size of an installation and the kind of its workers.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// The number of entries.
+    pub entries: usize,
+    /// The number of agents.
+    pub agents: usize,
+    /// The longest lease, `hold_max_ms`.
+    pub max_lease_ms: u64,
+    /// Whether the machines of the workers can be suspended and cut off.
+    pub can_suspend: bool,
+}
+
 /// A process of the installation.
 pub struct Member {
     /// The name of the process.
     pub name: String,
     /// The address for clients, or for the worker.
     pub address: SocketAddr,
-    _process: Process,
+    /// The address of the store for this process.
+    store: Endpoint,
+    /// The link from the other processes, if it can be cut.
+    link: Option<Proxy>,
+    process: Process,
+}
+
+impl Member {
+    /// Cuts the links between the machine and all others, or heals them.
+    pub fn set_cut_off(&self, cut: bool) {
+        let outage = if cut {
+            Outage::Unresponsive
+        } else {
+            Outage::None
+        };
+        self.store.faults().outage = outage;
+        if let Some(link) = &self.link {
+            link.refuse_connections(cut);
+            if cut {
+                link.blackhole(None);
+            }
+        }
+    }
+
+    /// Stops the process or lets it go on.
+    pub fn set_stopped(&self, stopped: bool) {
+        if stopped {
+            self.process.freeze();
+        } else {
+            self.process.thaw();
+        }
+    }
 }
 
 /// A running installation. Its processes end when it is dropped.
@@ -73,8 +119,10 @@
     pub entries: Vec<Member>,
     /// The processes beside the workers.
     pub agents: Vec<Member>,
-    /// The workers.
+    /// The workers, unless they can be suspended.
     pub workers: Workers,
+    /// The workers that can be suspended, one beside each agent.
+    pub suspendable: Vec<Worker>,
     /// A client with a key of the only tenant.
     pub client: Client,
     kv: MemoryKv,
@@ -87,11 +135,7 @@
     /// # Errors
     ///
     /// Returns why it does not serve.
-    pub fn start(
-        program: &Path,
-        entries: usize,
-        agents: usize,
-    ) -> Result<Self, String> {
+    pub fn start(program: &Path, plan: Plan) -> Result<Self, String> {
         let name = format!("figrill-review-{}", std::process::id());
         let dir = env::temp_dir().join(name);
         fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
@@ -99,30 +143,46 @@
             entries: Vec::new(),
             agents: Vec::new(),
             workers: Workers::start().map_err(|e| e.to_string())?,
+            suspendable: Vec::new(),
             client: Client::new(API_KEY),
             kv: store::in_memory(),
             dir,
         };
         site.configure(&configuration(1, &[API_KEY]))?;
-        for i in 0..entries {
-            let member = site.start_member(program, "entry", i)?;
+        for i in 0..plan.entries {
+            let member = site.start_member(program, plan, "entry", i)?;
             site.entries.push(member);
         }
-        for i in 0..agents {
-            let member = site.start_member(program, "agent", i)?;
-            let place = Place {
-                failure_domain: format!("zone-{}", i % 2),
-                rack: format!("r{}", i / RACK_SIZE),
-            };
-            site.workers
-                .add_at(&member.name, &place, member.address)
-                .map_err(|e| e.to_string())?;
+        for i in 0..plan.agents {
+            let member = site.start_member(program, plan, "agent", i)?;
+            let added = site.add_worker(plan, &member, i);
+            added.map_err(|e| e.to_string())?;
             site.agents.push(member);
         }
         site.wait_until_serving()?;
         Ok(site)
     }
 
+    /// Adds the worker beside an agent.
+    fn add_worker(
+        &mut self,
+        plan: Plan,
+        agent: &Member,
+        i: usize,
+    ) -> io::Result<()> {
+        let rack = format!("r{}", i / RACK_SIZE);
+        if plan.can_suspend {
+            let worker = Worker::start(&agent.name, &rack, agent.address)?;
+            self.suspendable.push(worker);
+            return Ok(());
+        }
+        let place = Place {
+            failure_domain: format!("zone-{}", i % 2),
+            rack,
+        };
+        self.workers.add_at(&agent.name, &place, agent.address)
+    }
+
     /// Writes a manifest to the store, as the operator does.
     fn configure(&self, manifest: &Value) -> Result<(), String> {
         let value = manifest.to_string().into_bytes();
@@ -134,6 +194,7 @@
     fn start_member(
         &self,
         program: &Path,
+        plan: Plan,
         role: &str,
         i: usize,
     ) -> Result<Member, String> {
@@ -149,10 +210,16 @@
         } else {
             (format!("upstream = {address}\n"), "")
         };
+        let is_linked = plan.can_suspend && role == "agent";
+        let link = is_linked.then(|| Proxy::start(Some(peer))).transpose();
+        let link = link.map_err(|e| e.to_string())?;
+        let advertise = link.as_ref().map_or(peer, |l| l.address);
         let settings = format!(
-            "[process]\nname = {name}\npeer = {peer}\nlog_level = debug\n\
-             [platform]\nstore = {}\n{platform}{LIMITS}{features}",
-            store.address
+            "[process]\nname = {name}\npeer = {peer}\n\
+             advertise = {advertise}\nlog_level = debug\n\
+             [platform]\nstore = {}\n{platform}{LIMITS}\
+             max_lease_ms = {}\n{features}",
+            store.address, plan.max_lease_ms
         );
         let file = self.dir.join(format!("{name}.ini"));
         fs::write(&file, settings).map_err(|e| e.to_string())?;
@@ -163,7 +230,9 @@
         Ok(Member {
             name,
             address,
-            _process: process,
+            store,
+            link,
+            process,
         })
     }
 
@@ -187,6 +256,9 @@
 impl Drop for Installation {
     fn drop(&mut self) {
         self.workers.end();
+        for worker in &self.suspendable {
+            worker.end();
+        }
         let _ = fs::remove_dir_all(&self.dir);
     }
 }
--- a/review/third/src/main.rs
+++ b/review/third/src/main.rs
@@ -8,8 +8,10 @@
 use std::{env, path::PathBuf, process::ExitCode};
 
 mod case_11;
+mod case_12;
 mod installation;
 mod record;
+mod worker;
 
 use record::{Outcome, Record};
 
@@ -29,6 +31,7 @@
     record.note(&format!("case {case}, disruption: {trouble}"));
     let outcome = match case.as_str() {
         "11" => case_11::run(&program, trouble, &mut record),
+        "12" => case_12::run(&program, trouble, &mut record),
         _ => Err("no such case".to_owned()),
     };
     let (text, code) = match outcome {
