--- a/review/third/src/main.rs
+++ b/review/third/src/main.rs
@@ -9,7 +9,10 @@
 
 mod case_11;
 mod case_12;
+mod case_13;
+mod case_14;
 mod installation;
+mod jobs;
 mod record;
 mod worker;
 
@@ -32,6 +35,8 @@
     let outcome = match case.as_str() {
         "11" => case_11::run(&program, trouble, &mut record),
         "12" => case_12::run(&program, trouble, &mut record),
+        "13" => case_13::run(&program, trouble, &mut record),
+        "14" => case_14::run(&program, trouble, &mut record),
         _ => Err("no such case".to_owned()),
     };
     let (text, code) = match outcome {
--- a/review/third/src/record.rs
+++ b/review/third/src/record.rs
@@ -12,6 +12,21 @@
     Broken(String),
 }
 
+impl Outcome {
+    /// Returns the outcome of a case that looks for jobs that stand still, from
+    /// the states of those that do.
+    pub fn of_standing_still(states: &[String]) -> Self {
+        if states.is_empty() {
+            return Self::Held;
+        }
+        Self::Broken(format!(
+            "{}: nothing runs, though under half of the GPUs are in use and \
+             there is room twice over",
+            states.join(", ")
+        ))
+    }
+}
+
 /// The record of a case.
 pub struct Record {
     file: PathBuf,
