--- a/review/third/src/case_14.rs
+++ b/review/third/src/case_14.rs
@@ -33,6 +33,9 @@
     ..Job::SMALL
 };
 
+/// The time until all workers are known.
+const WARM_UP: Duration = Duration::from_secs(4);
+
 /// The time after the end of the traffic from which jobs may not stand still,
 /// `finish_s`.
 const FINISH_TIME: Duration = Duration::from_secs(14);
@@ -54,6 +57,7 @@
     record: &mut Record,
 ) -> Result<Outcome, String> {
     let site = Installation::start(program, PLAN)?;
+    thread::sleep(WARM_UP);
     let mut jobs = vec![GANG];
     if trouble {
         for (rack, id) in RACKS.iter().zip(LONG_ID..) {
