--- a/review/third/src/main.rs
+++ b/review/third/src/main.rs
@@ -11,6 +11,7 @@
 mod case_12;
 mod case_13;
 mod case_14;
+mod case_15;
 mod installation;
 mod jobs;
 mod record;
@@ -37,6 +38,7 @@
         "12" => case_12::run(&program, trouble, &mut record),
         "13" => case_13::run(&program, trouble, &mut record),
         "14" => case_14::run(&program, trouble, &mut record),
+        "15" => case_15::run(&program, trouble, &mut record),
         _ => Err("no such case".to_owned()),
     };
     let (text, code) = match outcome {
--- a/review/third/src/worker.rs
+++ b/review/third/src/worker.rs
@@ -29,8 +29,8 @@
 /// The interval at which the model's clock advances.
 const STEP_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The interval between two status reports.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// The interval between two status reports, `heartbeat_ms`.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
 
 /// The maximum number of calls that wait.
 const CALL_QUEUE_CAPACITY: usize = 256;
@@ -138,6 +138,15 @@
         }
     }
 
+    /// Returns the worker's id and its next status report, without sending it.
+    pub fn next_report(&self) -> (String, Value) {
+        let now = self.now_ms();
+        let pool = lock(&self.0.pool);
+        let node = pool.nodes.get(&self.0.name);
+        let report = node.map(|n| report_json(&n.upstream, now));
+        (self.0.incarnation.id.clone(), report.unwrap_or_default())
+    }
+
     /// Ends the threads of the worker.
     pub fn end(&self) {
         self.0.ended.store(true, Ordering::Relaxed);
