Let work use reserved capacity after a short wait, and give it back

A gang that needed all workers waited for a run of 95 s. Until its end, accepted jobs that take longer, and lasting ones, stayed queued beside two empty workers, with 16 of 24 accelerators idle.

Cause: capacity that is reserved for a group was lent only to work that ends before the group needs it. The wait of all other work lasted as long as the run that the group waited for; nothing bounded it or looked at how much was idle. It is a class: a wait that the planner chooses for capacity that it could give. scheduler/waits.rs now names these waits and their limits. The log (JobWaits) and gauges show them; on the case the reason is "reservation".

Why this works: after 1.5 s, while less than half of a service is in use, work uses reserved capacity as backfill; lasting work does so in any case. The wait of the group is no longer than before, because backfill that was placed while it waited is stopped once nothing else is in its way. The limits do not depend on estimates of run times.

--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -53,10 +53,12 @@
 mod speed;
 mod task_group;
 mod victims;
+mod waits;
 mod watch;
 mod worker;
 
 pub use commit::Commit;
+pub use waits::WaitReason;
 
 /// How far beyond the upstream's clock a grant extends the deadline of the
 /// upstream's runs, unless the deployment's [`Limits::max_lease`] is less. It
@@ -128,6 +130,7 @@
     delay_costs: cost::DelayCosts,
     oversized: oversized::Oversized,
     pending_work: PendingWork,
+    waits: waits::Waits,
     actions: Vec<Action>,
 }
 
@@ -173,6 +176,7 @@
             delay_costs: cost::DelayCosts::default(),
             oversized: oversized::Oversized::default(),
             pending_work: PendingWork::default(),
+            waits: waits::Waits::default(),
             actions: Vec::new(),
         }
     }
@@ -230,6 +234,7 @@
                 },
                 placed_at: now.monotonic,
                 ordered_at: Some(now.monotonic),
+                is_backfill: false,
                 is_adopted: true,
                 is_answered: false,
                 settled_at: self.settling_time(now.monotonic),
--- a/crates/coordination/src/scheduler/job.rs
+++ b/crates/coordination/src/scheduler/job.rs
@@ -367,6 +367,7 @@
             phase: Phase::Committing { commit: None },
             placed_at: now,
             ordered_at: None,
+            is_backfill: false,
             is_adopted: false,
             is_answered: false,
             settled_at: Duration::ZERO,
--- a/crates/coordination/src/scheduler/job/run.rs
+++ b/crates/coordination/src/scheduler/job/run.rs
@@ -65,6 +65,9 @@
     pub(in super::super) placed_at: Duration,
     /// When its start was ordered; `None` before that.
     pub(in super::super) ordered_at: Option<Duration>,
+    /// Whether it uses capacity that was reserved for another group, which may
+    /// stop it.
+    pub(in super::super) is_backfill: bool,
     /// Whether an earlier coordinator has ordered its start.
     pub(in super::super) is_adopted: bool,
     /// Whether its agent has made all calls to start it, and every one of them
--- a/crates/coordination/src/scheduler/place.rs
+++ b/crates/coordination/src/scheduler/place.rs
@@ -28,6 +28,19 @@
     resources: Resources,
     /// The seconds until the group is expected to need them.
     ready_in_s: f64,
+    /// Whether work of any length may use them until the group needs them.
+    allows_backfill: bool,
+}
+
+/// The work that reserved resources are lent to.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum LoanTerm {
+    /// Work that takes this long, and ends before the resources are needed.
+    EndsWithin(Duration),
+    /// Work that is stopped when the resources are needed.
+    Backfill,
+    /// Any work, to find out whether it would fit.
+    Any,
 }
 
 /// A worker that may receive tasks, as seen by one planning pass.
@@ -73,25 +86,42 @@
 
     /// Holds back free resources for a group that needs them in `ready_in_s`
     /// seconds.
-    pub(super) fn reserve(&mut self, resources: &Resources, ready_in_s: f64) {
+    pub(super) fn reserve(
+        &mut self,
+        resources: &Resources,
+        ready_in_s: f64,
+        allows_backfill: bool,
+    ) {
         let free = self.free.minus(resources);
         let resources = self.free.minus(&free);
         self.free = free;
         self.reservations.push(Reservation {
             resources,
             ready_in_s,
+            allows_backfill,
         });
     }
 
-    /// Makes the resources free that are reserved for later than `duration`
-    /// from now. Returns them, for [`Self::end_loan`].
-    pub(super) fn begin_loan(&mut self, duration: Duration) -> Loan {
-        let duration_s = duration.as_secs_f64();
-        let is_lent = |r: &mut Reservation| r.ready_in_s >= duration_s;
+    /// Returns whether reserved resources are lent to backfill.
+    pub(super) fn allows_backfill(&self) -> bool {
+        self.reservations.iter().any(|r| r.allows_backfill)
+    }
+
+    /// Makes the reserved resources free that are lent on these terms. Returns
+    /// them, for [`Self::end_loan`].
+    pub(super) fn begin_loan(&mut self, term: LoanTerm) -> Loan {
+        let is_lent = |r: &mut Reservation| match term {
+            LoanTerm::EndsWithin(duration) => {
+                r.ready_in_s >= duration.as_secs_f64()
+            }
+            LoanTerm::Backfill => r.allows_backfill,
+            LoanTerm::Any => true,
+        };
         let mut loan = Loan::default();
         for lent in self.reservations.extract_if(.., is_lent) {
             loan.resources = loan.resources.plus(&lent.resources);
             loan.ready_in_s = loan.ready_in_s.min(lent.ready_in_s);
+            loan.allows_backfill &= lent.allows_backfill;
         }
         self.free = self.free.plus(&loan.resources);
         loan
@@ -100,16 +130,21 @@
     /// Reserves the resources of a loan again that are still free.
     pub(super) fn end_loan(&mut self, loan: &Loan) {
         if loan.resources != Resources::default() {
-            self.reserve(&loan.resources, loan.ready_in_s);
+            self.reserve(
+                &loan.resources,
+                loan.ready_in_s,
+                loan.allows_backfill,
+            );
         }
     }
 }
 
-/// Reserved resources that tasks may use which end before they are needed.
+/// Reserved resources that other tasks may use meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Loan {
     resources: Resources,
     ready_in_s: f64,
+    allows_backfill: bool,
 }
 
 impl Default for Loan {
@@ -117,6 +152,7 @@
         Self {
             resources: Resources::default(),
             ready_in_s: f64::INFINITY,
+            allows_backfill: true,
         }
     }
 }
--- a/crates/coordination/src/scheduler/plan.rs
+++ b/crates/coordination/src/scheduler/plan.rs
@@ -23,9 +23,11 @@
     avoidance::FailureHistory,
     job::Job,
     place::{
-        Assignment, Candidate, Loan, PlacementRequest, SpeedDemand, scaled,
+        Assignment, Candidate, Loan, LoanTerm, PlacementRequest, SpeedDemand,
+        scaled,
     },
     task_group::{GroupContext, TaskGroup, add_groups},
+    waits::WaitReason,
 };
 
 /// How long a group waits before capacity is freed or reserved for it, unless
@@ -56,6 +58,7 @@
     /// or reserves capacity: at once or once they have waited for
     /// [`RESERVATION_WAIT`]; see [`Scheduler::gets_capacity_at_once`].
     pub(super) fn plan(&mut self, now: Now) {
+        self.begin_waits(now);
         let claims = self.claims();
         if self.features.delay_cost {
             self.refill_budget(now);
@@ -84,27 +87,22 @@
             let placed = if shape.is_some_and(|s| full.contains(&s)) {
                 0
             } else {
-                let loans: Vec<Loan> = candidates
-                    .iter_mut()
-                    .map(|c| c.begin_loan(group.duration))
-                    .collect();
-                let placed = self.place_group(now, group, &mut candidates);
-                for (candidate, loan) in candidates.iter_mut().zip(&loans) {
-                    candidate.end_loan(loan);
-                }
-                placed
+                self.place_with_loans(now, group, &mut candidates)
             };
             // What did not fit does not fit for later tasks of its shape.
             full.extend(shape.filter(|_| placed == 0));
             // The next pass has other tasks, and may find room for them.
             self.pending_work.plan |= has_more && placed > 0;
             self.record_turn(group, placed);
+            if placed > 0 {
+                self.end_wait(group);
+            }
             if placed == group.count() {
                 continue;
             }
-            let waited = now.monotonic.saturating_sub(group.ready_at);
-            let is_next =
-                waited >= RESERVATION_WAIT && reserved < MAX_RESERVATIONS;
+            self.record_wait(now, group, &candidates);
+            let is_next = group.waited(now) >= RESERVATION_WAIT
+                && reserved < MAX_RESERVATIONS;
             if !self.gets_capacity_at_once(now, group) {
                 if !is_next {
                     continue;
@@ -161,6 +159,7 @@
             1.0
         };
         let typical_durations = self.typical_durations();
+        let idle_services = self.mostly_idle_services();
         let mut groups = Vec::new();
         let mut has_more = false;
         for job in self.jobs.values_mut() {
@@ -170,6 +169,7 @@
             let cx = GroupContext {
                 now,
                 claim: claims.contains(&job.batch.id),
+                is_mostly_idle: idle_services.contains(&job.batch.service),
                 typical_duration: typical_durations
                     .get(&job.batch.queue)
                     .copied()
@@ -280,6 +280,47 @@
             .collect()
     }
 
+    /// Places as many tasks of a group as fit, also on capacity that is
+    /// reserved for other groups and lent to this one. Returns the number of
+    /// tasks that were placed.
+    fn place_with_loans(
+        &mut self,
+        now: Now,
+        group: &TaskGroup,
+        candidates: &mut [Candidate],
+    ) -> u32 {
+        let term = LoanTerm::EndsWithin(group.duration);
+        let placed = self.place_on_loan(now, group, candidates, term);
+        let may_backfill = group.has_waited(now, WaitReason::Reservation)
+            && candidates.iter().any(Candidate::allows_backfill);
+        if placed == group.count() || !may_backfill {
+            return placed;
+        }
+        let rest = group.without_first(placed);
+        let Some(backfill) = self.backfill_of(now, rest, candidates) else {
+            return placed;
+        };
+        let term = LoanTerm::Backfill;
+        placed + self.place_on_loan(now, &backfill, candidates, term)
+    }
+
+    fn place_on_loan(
+        &mut self,
+        now: Now,
+        group: &TaskGroup,
+        candidates: &mut [Candidate],
+        term: LoanTerm,
+    ) -> u32 {
+        let loans: Vec<Loan> =
+            candidates.iter_mut().map(|c| c.begin_loan(term)).collect();
+        let is_backfill = matches!(term, LoanTerm::Backfill);
+        let placed = self.place_group(now, group, candidates, is_backfill);
+        for (candidate, loan) in candidates.iter_mut().zip(&loans) {
+            candidate.end_loan(loan);
+        }
+        placed
+    }
+
     /// Places as many tasks of a group as fit, and a gang only as a whole.
     /// Returns the number of tasks that were placed.
     fn place_group(
@@ -287,6 +328,7 @@
         now: Now,
         group: &TaskGroup,
         candidates: &mut [Candidate],
+        is_backfill: bool,
     ) -> u32 {
         let Some(job) = self.jobs.get(&group.first().job) else {
             return 0;
@@ -352,7 +394,7 @@
             }
         }
         let count = u32::try_from(placed.len()).unwrap_or(0);
-        self.record_placement(now, group, demand, placed);
+        self.record_placement(now, group, demand, is_backfill, placed);
         count
     }
 
@@ -362,6 +404,7 @@
         now: Now,
         group: &TaskGroup,
         demand: Option<SpeedDemand>,
+        is_backfill: bool,
         placed: Vec<(TaskId, String)>,
     ) {
         if placed.is_empty() {
@@ -408,6 +451,9 @@
                 upstream: incarnation,
             };
             job.place(now.monotonic, task, run, to, &checkpoint);
+            if let Some(run) = job.runs.get_mut(&task) {
+                run.is_backfill = is_backfill;
+            }
         }
         let waited_ms =
             now.monotonic.saturating_sub(group.ready_at).as_millis();
@@ -416,7 +462,7 @@
         let order = self.order_detail(now, group);
         let detail = format!(
             "waited_ms={waited_ms} due_in_ms={due_in_ms} \
-             claim={claim}{order}{detail}"
+             claim={claim} backfill={is_backfill}{order}{detail}"
         );
         self.dirty.insert(id);
         self.record_event(Code::JobPlaced, id, &detail);
@@ -448,7 +494,6 @@
     request: &PlacementRequest,
     candidates: &[Candidate],
 ) -> bool {
-    let waited = now.monotonic.saturating_sub(group.ready_at);
-    waited >= group.max_rack_wait
+    group.has_waited(now, WaitReason::Rack)
         || !request.fits_on_one_rack(candidates, group.count())
 }
--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -68,7 +68,7 @@
             self.preempt_by_value(now, group, candidates, victims);
             return;
         }
-        let waited = now.monotonic.saturating_sub(group.ready_at);
+        let waited = group.waited(now);
         let slack_wait = group.slack.mul_f64(SLACK_WAIT_FRACTION);
         // Only claims have a time limit for their start; other work may wait
         // as long as it still ends in time.
@@ -100,11 +100,14 @@
             self.reserve(now, group, candidates, victims);
             return;
         }
+        if options.is_empty() {
+            self.record_blocked(now, group);
+        }
         let stopped = stopped_victims(&policy, &options, candidates, victims);
         for victim in stopped {
             self.preempt_run(group, &victim, victims, "");
         }
-        self.reserve_options(group, &options, candidates, victims);
+        self.reserve_options(now, group, &options, candidates, victims);
     }
 
     /// Returns the maximum time that a claim waits for runs that end by
@@ -129,8 +132,8 @@
 
     /// Reserves capacity for a group on the workers that are expected to have
     /// it first.
-    pub(super) fn reserve(
-        &self,
+    fn reserve(
+        &mut self,
         now: Now,
         group: &TaskGroup,
         candidates: &mut [Candidate],
@@ -139,7 +142,38 @@
         let mode = FreeingMode::Wait;
         let options =
             self.choose_options(now, group, candidates, victims, mode);
-        self.reserve_options(group, &options, candidates, victims);
+        self.reserve_until_free(now, group, &options, candidates, victims);
+    }
+
+    /// Reserves the capacity of options for which the group waits. Stops the
+    /// backfill there once there is nothing else to wait for.
+    fn reserve_until_free(
+        &mut self,
+        now: Now,
+        group: &TaskGroup,
+        options: &[CapacityOption],
+        candidates: &mut [Candidate],
+        victims: &mut Victims,
+    ) {
+        if options.is_empty() {
+            self.record_blocked(now, group);
+        }
+        for option in options {
+            if ready_in_s(group, options, option) > 0.0 {
+                continue;
+            }
+            let agent = &candidates[option.candidate].agent;
+            let backfill: Vec<Victim> = victims
+                .on(agent)
+                .iter()
+                .filter(|v| option.victims.contains(&v.task) && !v.stopping)
+                .cloned()
+                .collect();
+            for victim in backfill {
+                self.preempt_run(group, &victim, victims, " backfill=true");
+            }
+        }
+        self.reserve_options(now, group, options, candidates, victims);
     }
 
     /// Stops a victim, and its gang if it is a member of one. `reason` is
@@ -173,7 +207,8 @@
     /// what their victims free, and of what is free now only what they return
     /// before the group needs it.
     fn reserve_options(
-        &self,
+        &mut self,
+        now: Now,
         group: &TaskGroup,
         options: &[CapacityOption],
         candidates: &mut [Candidate],
@@ -183,14 +218,18 @@
         let Some(step) = job.and_then(|j| j.batch.step(group.first())) else {
             return;
         };
-        let ready_in_s = |option: &CapacityOption| {
-            if group.gang {
-                options.iter().map(|o| o.ready_in_s).fold(0.0, f64::max)
-            } else {
-                option.ready_in_s
-            }
-        };
+        let needs = step.needs;
+        let is_stopping = options.iter().any(|o| !o.victims.is_empty());
+        let waited = group.waited(now);
         for option in options {
+            let ready_in_s = ready_in_s(group, options, option);
+            let is_stopping = is_stopping && ready_in_s <= 0.0;
+            // Backfill could delay a claim beyond its time limit.
+            let is_claim_in_time = group.claim
+                && waited.as_secs_f64() + ready_in_s
+                    < self.limits.claim_start.as_secs_f64();
+            let allows_backfill = !is_claim_in_time
+                && self.lends_to_backfill(now, group, ready_in_s, is_stopping);
             let candidate = &mut candidates[option.candidate];
             let tasks: BTreeSet<TaskId> =
                 option.victims.iter().copied().collect();
@@ -200,10 +239,14 @@
                 .filter(|v| tasks.contains(&v.task))
                 .fold(candidate.expected, |sum, v| sum.plus(&v.needs));
             victims.take(&candidate.agent, &tasks);
-            let reserved = scaled(&step.needs, option.fit);
+            let reserved = scaled(&needs, option.fit);
             candidate.max_tasks =
                 candidate.max_tasks.saturating_sub(option.fit);
-            candidate.reserve(&reserved.minus(&expected), ready_in_s(option));
+            candidate.reserve(
+                &reserved.minus(&expected),
+                ready_in_s,
+                allows_backfill,
+            );
             candidate.expected = expected.minus(&reserved);
         }
     }
@@ -241,25 +284,40 @@
             },
             candidates,
             victims,
+            group,
             mode,
             count: u32::try_from(pending.count()).unwrap_or(0),
         };
-        let mut options = search.options_for(now, group);
+        let mut options = search.options_for(now);
         if options.is_empty()
             && let Some(fallback) = &avoidance.fallback
         {
             search.request.excluded_agents = fallback;
-            options = search.options_for(now, group);
+            options = search.options_for(now);
         }
         if options.is_empty() && avoidance.is_pressed_claim {
             search.request.excluded_agents = &[];
             search.request.ignores_suspicion = true;
-            options = search.options_for(now, group);
+            options = search.options_for(now);
         }
         options
     }
 }
 
+/// Returns the seconds until a group can use one of its options. A gang needs
+/// all of them at a time.
+fn ready_in_s(
+    group: &TaskGroup,
+    options: &[CapacityOption],
+    option: &CapacityOption,
+) -> f64 {
+    if group.gang {
+        options.iter().map(|o| o.ready_in_s).fold(0.0, f64::max)
+    } else {
+        option.ready_in_s
+    }
+}
+
 /// Returns the runs that have to be stopped for options. Gangs of earlier
 /// options are left out, as they are stopped whole.
 fn stopped_victims(
--- a/crates/coordination/src/scheduler/reclaim/by_value.rs
+++ b/crates/coordination/src/scheduler/reclaim/by_value.rs
@@ -50,7 +50,7 @@
         let demand = self.pending_demand(group);
         let gain = self.gain(now, &demand, &waiting);
         if gain <= 0.0 {
-            self.reserve_options(group, &waiting, candidates, victims);
+            self.reserve_until_free(now, group, &waiting, candidates, victims);
             return;
         }
         let spare_s = demand.spare_time(now.wall_ms).as_secs_f64();
@@ -67,18 +67,18 @@
             self.choose_options(now, group, candidates, victims, mode);
         let stopped = stopped_victims(&policy, &options, candidates, victims);
         if stopped.is_empty() {
-            self.reserve_options(group, &waiting, candidates, victims);
+            self.reserve_until_free(now, group, &waiting, candidates, victims);
             return;
         }
         let balance = balance(gain, &policy, &stopped);
         let tokens = self.delay_costs.budget.tokens();
         if let Some(why) = balance.decline(tokens) {
             self.record_decline(now, group, &balance, why);
-            self.reserve_options(group, &waiting, candidates, victims);
+            self.reserve_until_free(now, group, &waiting, candidates, victims);
             return;
         }
         self.stop_for(group, &balance, &stopped, victims);
-        self.reserve_options(group, &options, candidates, victims);
+        self.reserve_options(now, group, &options, candidates, victims);
     }
 
     /// Preempts the runs with the least loss for a claim. The claim waits for
@@ -91,7 +91,7 @@
         candidates: &mut [Candidate],
         victims: &mut Victims,
     ) {
-        let waited = now.monotonic.saturating_sub(group.ready_at);
+        let waited = group.waited(now);
         let max_wait = self.max_preemption_wait().saturating_sub(waited);
         let demand = self.pending_demand(group);
         let spare = demand.spare_time(now.wall_ms).min(max_wait);
@@ -116,7 +116,7 @@
             let balance = balance(gain, &policy, &stopped);
             self.stop_for(group, &balance, &stopped, victims);
         }
-        self.reserve_options(group, &options, candidates, victims);
+        self.reserve_options(now, group, &options, candidates, victims);
     }
 
     /// Returns the demand of a group without the tasks that were placed since
--- a/crates/coordination/src/scheduler/reclaim/search.rs
+++ b/crates/coordination/src/scheduler/reclaim/search.rs
@@ -39,7 +39,8 @@
     /// Runs are stopped, and the cost is what is lost. Runs that are expected
     /// to end soon cost almost nothing and are left to end.
     Preempt(PreemptionPolicy),
-    /// Nothing is stopped, and the cost is the time until runs end.
+    /// Nothing is stopped but backfill, and the cost is the time until the
+    /// other runs end.
     Wait,
 }
 
@@ -126,6 +127,8 @@
     pub(super) request: PlacementRequest<'a>,
     pub(super) candidates: &'a [Candidate],
     pub(super) victims: &'a Victims,
+    /// The group that gets the capacity.
+    pub(super) group: &'a TaskGroup,
     pub(super) mode: FreeingMode,
     /// The number of tasks to place.
     pub(super) count: u32,
@@ -134,11 +137,8 @@
 impl Search<'_> {
     /// Returns the cheapest options for a group; see
     /// [`Scheduler::choose_options`](super::super::Scheduler).
-    pub(super) fn options_for(
-        &self,
-        now: Now,
-        group: &TaskGroup,
-    ) -> Vec<CapacityOption> {
+    pub(super) fn options_for(&self, now: Now) -> Vec<CapacityOption> {
+        let group = self.group;
         if self.request.step.same_rack && group.gang {
             let racks: BTreeSet<&str> =
                 self.candidates.iter().map(|c| c.rack.as_str()).collect();
@@ -257,10 +257,9 @@
         stopped_gangs: &BTreeSet<GangKey>,
     ) -> Option<f64> {
         match self.mode {
-            FreeingMode::Wait if victim.stopping => Some(0.0),
             // Capacity that never becomes free is no reason to hold any back.
             FreeingMode::Wait => {
-                Some(victim.ends_in_s).filter(|s| s.is_finite())
+                Some(self.wait_s(victim)).filter(|s| s.is_finite())
             }
             FreeingMode::Preempt(policy) => {
                 let is_stopped =
@@ -271,6 +270,16 @@
         }
     }
 
+    /// Returns the seconds until the capacity of a run can be free if only
+    /// backfill is stopped.
+    fn wait_s(&self, victim: &Victim) -> f64 {
+        if victim.stopping || victim.yields_to(self.group) {
+            0.0
+        } else {
+            victim.ends_in_s
+        }
+    }
+
     fn option(
         &self,
         candidate: usize,
@@ -281,7 +290,7 @@
         let mut cost = 0.0;
         let ends_in_s = |v: &Victim| match self.mode {
             _ if v.stopping => 0.0,
-            FreeingMode::Wait => v.ends_in_s,
+            FreeingMode::Wait => self.wait_s(v),
             FreeingMode::Preempt(policy) if policy.lets_finish(v) => {
                 v.remaining_s
             }
--- a/crates/coordination/src/scheduler/task_group.rs
+++ b/crates/coordination/src/scheduler/task_group.rs
@@ -10,6 +10,7 @@
     cost::Demand,
     job::Job,
     victims::cores,
+    waits::{WaitLimits, WaitReason},
 };
 
 /// The maximum number of tasks in a group that is not a gang. A planning pass
@@ -32,9 +33,8 @@
     /// How long its job may wait and still meet its deadline, if its estimate
     /// is right.
     pub(super) slack: Duration,
-    /// How long it waits for capacity on one rack, if it is bound to one,
-    /// before it is spread over several.
-    pub(super) max_rack_wait: Duration,
+    /// How long it waits at most although it would fit.
+    pub(super) waits: WaitLimits,
     /// How long its tasks are expected to run. Unlimited if that is not known,
     /// and for tasks that last.
     pub(super) duration: Duration,
@@ -54,6 +54,8 @@
 pub(super) struct GroupContext {
     pub(super) now: Now,
     pub(super) claim: bool,
+    /// Whether less than half of the capacity of the job's service is in use.
+    pub(super) is_mostly_idle: bool,
     /// The assumed minimum run time of tasks of the job's queue, from the
     /// run times of earlier ones.
     pub(super) typical_duration: Duration,
@@ -77,6 +79,25 @@
         u32::try_from(self.tasks.len()).unwrap_or(u32::MAX)
     }
 
+    /// Returns how long it has waited.
+    pub(super) fn waited(&self, now: Now) -> Duration {
+        now.monotonic.saturating_sub(self.ready_at)
+    }
+
+    /// Returns whether it has waited for the longest time that it waits for a
+    /// reason.
+    pub(super) fn has_waited(&self, now: Now, reason: WaitReason) -> bool {
+        self.waited(now) >= self.waits.of(reason)
+    }
+
+    /// Returns the group without its first `count` tasks.
+    pub(super) fn without_first(&self, count: u32) -> Self {
+        Self {
+            tasks: self.tasks[count as usize..].to_vec(),
+            ..self.clone()
+        }
+    }
+
     /// Returns the time until its deadline; zero if that has passed.
     pub(super) fn time_left(&self, now: Now) -> Duration {
         Duration::from_millis(self.due_ms.saturating_sub(now.wall_ms))
@@ -134,11 +155,7 @@
     let spec = &job.batch.steps[step as usize];
     let expected_duration =
         Duration::from_millis(spec.estimate_ms).max(cx.typical_duration);
-    let max_rack_wait = if cx.claim {
-        expected_duration.min(cx.max_claim_rack_wait)
-    } else {
-        expected_duration.mul_f64(cx.rack_patience)
-    };
+    let waits = WaitLimits::new(&cx, spec, expected_duration);
     let count = f64::from(u32::try_from(tasks.len()).unwrap_or(u32::MAX));
     let due_ms = job.due_ms(occurrence);
     let expected_ms =
@@ -151,7 +168,7 @@
         due_ms,
         claim: cx.claim,
         slack: job.slack(cx.typical_duration),
-        max_rack_wait,
+        waits,
         duration: if spec.persistent || expected_duration.is_zero() {
             Duration::MAX
         } else {
--- a/crates/coordination/src/scheduler/victims.rs
+++ b/crates/coordination/src/scheduler/victims.rs
@@ -15,6 +15,7 @@
     Now, Scheduler,
     cost::VictimValue,
     job::{Job, Run},
+    task_group::TaskGroup,
 };
 
 /// The number of cores that one accelerator counts as when work is compared.
@@ -55,6 +56,12 @@
     pub(super) claim: bool,
     /// Whether its stop was already requested.
     pub(super) stopping: bool,
+    /// When it was placed, if it uses capacity that was reserved for another
+    /// group.
+    backfill_since: Option<Duration>,
+    /// When its job was accepted, in milliseconds since 1970, if it lasts until
+    /// it is stopped.
+    lasting_since_ms: Option<u64>,
     /// The value that is lost with it; all zero without the feature
     /// `delay_cost`.
     pub(super) value: VictimValue,
@@ -66,6 +73,21 @@
     pub(super) fn loss(&self, delay_s: f64) -> f64 {
         self.value.work_loss(self.lost) + self.value.deadline_loss(delay_s)
     }
+
+    /// Returns whether it is stopped as soon as a group needs its capacity,
+    /// whatever is lost with it: it is backfill that was placed while the group
+    /// waited.
+    ///
+    /// An earlier coordinator may have placed it. The group can wait for its
+    /// end then, unless it lasts.
+    pub(super) fn yields_to(&self, group: &TaskGroup) -> bool {
+        let is_backfill =
+            self.backfill_since.is_some_and(|at| at >= group.ready_at);
+        let is_later_lasting = self
+            .lasting_since_ms
+            .is_some_and(|ms| ms > group.demand.accepted_ms);
+        self.priority >= group.priority && (is_backfill || is_later_lasting)
+    }
 }
 
 /// All runs that may free capacity, as seen by one planning pass, by agent.
@@ -143,6 +165,10 @@
                     priority: job.batch.priority,
                     claim: claims.contains(&job.batch.id),
                     stopping: run.stopping.is_some(),
+                    backfill_since: run.is_backfill.then_some(run.placed_at),
+                    lasting_since_ms: step
+                        .persistent
+                        .then_some(job.batch.accepted_ms),
                     value,
                 };
                 by_agent.entry(run.agent.clone()).or_default().push(victim);
--- a/crates/node/src/fleet/lead.rs
+++ b/crates/node/src/fleet/lead.rs
@@ -286,7 +286,7 @@
             self.perform_valid(&mut scheduler, term);
             self.operators.drains.pass_to(&mut scheduler, self.now());
             scheduler.tick(self.now());
-            self.set_suspect_workers(scheduler.suspect_workers());
+            self.set_gauges(&scheduler);
             let valid = term.is_valid();
             if valid != last_valid {
                 last_valid = valid;
@@ -301,7 +301,7 @@
             }
             self.dial_and_heartbeat(&mut directory);
         }
-        self.set_suspect_workers(0);
+        self.clear_gauges();
         Ok(())
     }
 
--- a/crates/node/src/fleet/lead/calls.rs
+++ b/crates/node/src/fleet/lead/calls.rs
@@ -8,7 +8,7 @@
 };
 
 use crossbeam::channel::{RecvTimeoutError, Sender, bounded};
-use figrill_coordination::scheduler::Commit;
+use figrill_coordination::scheduler::{Commit, Scheduler, WaitReason};
 use figrill_state::{
     batch::keys,
     kv::{Change, KvError},
@@ -27,9 +27,35 @@
 const INPUT_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl Coordinator {
-    /// Sets the gauge of workers that get no work because they fail it.
-    pub(super) fn set_suspect_workers(&self, count: usize) {
-        self.journal.metrics.set_gauge("suspect_workers", count);
+    /// Sets the gauges of what the scheduler withholds: workers that get no
+    /// work because they fail it, and work that waits although it would fit.
+    pub(super) fn set_gauges(&self, scheduler: &Scheduler) {
+        let metrics = &self.journal.metrics;
+        metrics.set_gauge("suspect_workers", scheduler.suspect_workers());
+        let now = self.now();
+        for reason in WaitReason::ALL {
+            let waited_ms = scheduler.longest_wait(now, reason).as_millis();
+            let value = usize::try_from(waited_ms).unwrap_or(usize::MAX);
+            metrics.set_gauge(wait_gauge(reason), value);
+        }
+    }
+
+    /// Resets the gauges at the end of a term.
+    pub(super) fn clear_gauges(&self) {
+        let metrics = &self.journal.metrics;
+        metrics.set_gauge("suspect_workers", 0);
+        for reason in WaitReason::ALL {
+            metrics.set_gauge(wait_gauge(reason), 0);
+        }
+    }
+}
+
+/// Returns the name of the gauge of the longest wait for a reason.
+const fn wait_gauge(reason: WaitReason) -> &'static str {
+    match reason {
+        WaitReason::Rack => "rack_wait_ms",
+        WaitReason::Reservation => "reservation_wait_ms",
+        WaitReason::Worker => "worker_wait_ms",
     }
 }
 
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -121,6 +121,8 @@
     RecordRejected 2015 Error "the store does not accept a record of a job; it is written without checkpoints, or the job ends, and all others go on",
     PreemptionDeclined 2016 Debug "waiting work would gain too little by preempting runs, so it waits for capacity that becomes free",
     JobMoved 2017 Info "the queue of a job belongs to another service, which runs what has not started of the job",
+    JobWaits 2018 Debug "a task of a job would fit on free capacity and waits for the given reason",
+    JobBlocked 2019 Info "a task or gang gets capacity neither when runs end nor by stopping those that it may stop",
     JobOversized 2020 Warn "a task of a job needs more than any worker of its service has offered, so the job may never run",
     GrantHeld 3001 Debug "an agent reserved capacity for a gang",
     GrantRefused 3002 Debug "an agent refused to reserve capacity",
