Wait for a rack only shortly while most of a service is idle

A gang that runs slower on more than one rack stayed queued for 60 s, its expected run time, with 48 of 72 accelerators idle, because a long run occupied one worker of each rack.

Cause: the wait for a rack was bounded by the expected run time alone, whatever stood idle. It is of the same class as the wait beside reserved capacity, and JobWaits shows it as reason=rack.

Why this works: the wait has the limit of that class, 1.5 s while less than half of the service is in use, and for lasting work in any case. On a busier service a gang still waits, as a spread one takes more from others.

--- a/crates/coordination/src/scheduler/waits.rs
+++ b/crates/coordination/src/scheduler/waits.rs
@@ -91,14 +91,14 @@
         };
         // Work that lasts loses its service while it waits, also on a service
         // that is busy.
-        let ends_soon = cx.is_mostly_idle || step.persistent;
+        let limit = if cx.is_mostly_idle || step.persistent {
+            MAX_IDLE_WAIT
+        } else {
+            Duration::MAX
+        };
         Self {
-            rack,
-            reservation: if ends_soon {
-                MAX_IDLE_WAIT
-            } else {
-                Duration::MAX
-            },
+            rack: rack.min(limit),
+            reservation: limit,
         }
     }
 
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -22,6 +22,7 @@
 mod moved_queues;
 mod preemption;
 mod queues;
+mod racks;
 mod random_faults;
 mod removals;
 mod reservations;
