Allow for a suspension before a silent worker's runs count as over

A worker's VM was suspended for 4.8 s and cut off from 3 s on. Its task started on another worker 7 s after the suspension had begun, while the first run went on: both ran for 2.4 s.

Cause: a worker counts its lease on a steady clock, which stands still while its VM is suspended. The coordinator took silence for the length of the lease as proof of its end, with 2 % for a slow clock and nothing for a suspension. So did an agent for its upstream, with a fixed 12 s.

Why this works: Limits::expiry_after_silence is the one estimate of the end of a lease after silence, and adds the longest suspension, a limit of the deployment (max_suspension_ms, 5 s). Proofs end the wait at once, as before, and an unsettled start needs no allowance while its worker answers.

Tests: a_task_of_a_suspended_worker_does_not_run_twice fails before ("runs more than once"). Tests that wait for the restart on a silent worker had 14 s or 11 s for it, which no longer covers the time for which its run may go on; they now have the maximum lease, the suspension, the grace period and a second, and 1.5 s more for a start that nobody has seen.

--- a/crates/coordination/src/registration.rs
+++ b/crates/coordination/src/registration.rs
@@ -14,6 +14,7 @@
 use displaydoc::Display;
 use figrill_state::{
     batch::Incarnation,
+    limits::Limits,
     runner::{RunnerError, UpstreamState},
 };
 
@@ -26,12 +27,6 @@
 /// address.
 const CRASH_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// The time after which an upstream that answers no calls counts as ended if it
-/// has deregistered or another one answers. Silence alone proves nothing: the
-/// upstream may be paused or its answer lost. After this time, which is longer
-/// than any grant on a slow clock, its runs have ended in any case.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(12);
-
 /// The number of contradictory heartbeats in a row that correct what is
 /// registered. One may come from another writer, while those of the upstream
 /// itself arrive again and again.
@@ -100,8 +95,13 @@
 }
 
 /// The registration of an agent's upstream.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Registration {
+    /// The time after which an upstream that answers no calls counts as ended
+    /// if it has deregistered or another one answers. Silence alone proves
+    /// nothing: the upstream may be suspended or its answer lost. After this
+    /// time its runs have ended in any case.
+    silence_timeout: Duration,
     current: Option<UpstreamState>,
     /// Whether the current upstream has deregistered.
     leaving: bool,
@@ -123,6 +123,21 @@
 }
 
 impl Registration {
+    /// Returns a registration without an upstream.
+    #[must_use]
+    pub fn new(limits: &Limits) -> Self {
+        Self {
+            silence_timeout: limits.expiry_after_silence(limits.max_lease),
+            current: None,
+            leaving: false,
+            ended: None,
+            candidates: VecDeque::new(),
+            refused_since: None,
+            silent_since: None,
+            contradiction: None,
+        }
+    }
+
     /// Returns the registered upstream, as it last reported itself.
     #[must_use]
     pub fn current(&self) -> Option<&UpstreamState> {
@@ -261,7 +276,7 @@
                 | RunnerError::Fenced,
             ) => {
                 let since = *self.silent_since.get_or_insert(now);
-                now >= since + SILENCE_TIMEOUT
+                now >= since + self.silence_timeout
             }
         }
     }
--- a/crates/coordination/src/scheduler.rs
+++ b/crates/coordination/src/scheduler.rs
@@ -66,13 +66,6 @@
 /// each task that was running on a lost worker.
 const MAX_GRANT_DURATION: Duration = Duration::from_secs(9);
 
-/// The maximum factor by which an upstream's clock runs slower than true time.
-const CLOCK_DRIFT_FACTOR: f64 = 1.02;
-
-/// Added to the expiry of a grant, besides [`Limits::stop_grace`], before its
-/// runs count as over: covers the inaccuracy of this process's clock.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(400);
-
 /// How long an upstream may still begin a run after its start was ordered.
 /// Agents make calls to start it for less than this.
 const START_WINDOW: Duration = Duration::from_millis(1500);
@@ -391,26 +384,21 @@
     /// Returns the time at which every run under a grant given at
     /// `granted_at` has certainly ended.
     fn grant_expiry(&self, granted_at: Duration) -> Duration {
-        granted_at
-            + self.grant_duration().mul_f64(CLOCK_DRIFT_FACTOR)
-            + self.limits.stop_grace
-            + EXPIRY_MARGIN
+        granted_at + self.limits.expiry_after_silence(self.grant_duration())
     }
 
     /// Returns the time at which every run under a lease that was taken at
     /// `taken_at` has certainly ended, however far ahead its deadline was. An
     /// upstream shortens a lease to [`Limits::max_lease`].
     fn lease_expiry(&self, taken_at: Duration) -> Duration {
-        taken_at
-            + self.limits.max_lease.mul_f64(CLOCK_DRIFT_FACTOR)
-            + self.limits.stop_grace
-            + EXPIRY_MARGIN
+        taken_at + self.limits.expiry_after_silence(self.limits.max_lease)
     }
 
     /// Returns the [`Run::settled_at`] of a run whose start was ordered at
     /// `ordered_at`.
     fn settling_time(&self, ordered_at: Duration) -> Duration {
-        self.lease_expiry(ordered_at + START_WINDOW)
+        let expiry = self.lease_expiry(ordered_at + START_WINDOW);
+        expiry.saturating_sub(self.limits.max_suspension)
     }
 
     fn send(&mut self, agent: &str, message: ToAgent) {
--- a/crates/coordination/src/scheduler/drains.rs
+++ b/crates/coordination/src/scheduler/drains.rs
@@ -14,11 +14,10 @@
     batch::TaskId,
     drain::Drains,
     event::{Code, NewEvent},
+    limits::CLOCK_DRIFT_FACTOR,
 };
 
-use super::{
-    Action, CLOCK_DRIFT_FACTOR, Now, START_WINDOW, Scheduler, worker::Worker,
-};
+use super::{Action, Now, START_WINDOW, Scheduler, worker::Worker};
 
 /// Subtracted from the maximum age of the view: covers the inaccuracy of an
 /// upstream's clock as extrapolated from its latest snapshot.
--- a/crates/coordination/src/scheduler/incarnations.rs
+++ b/crates/coordination/src/scheduler/incarnations.rs
@@ -9,7 +9,11 @@
     runner::UpstreamState,
 };
 
-use super::{Action, Now, Scheduler, job::Phase, message::StopResult};
+use super::{
+    Action, Now, Scheduler,
+    job::{Phase, Run},
+    message::StopResult,
+};
 use crate::registration::is_consistent;
 
 impl Scheduler {
@@ -193,7 +197,7 @@
         let Some(run) = job.and_then(|j| j.runs.get(&id)) else {
             return;
         };
-        let waits = run.settled_at.saturating_sub(now.monotonic);
+        let waits = self.settles_at(now, run).saturating_sub(now.monotonic);
         let detail = format!(
             "task={id} run={} agent={} upstream={} born={} phase={} \
              answered={} waits_ms={}",
@@ -211,7 +215,20 @@
     /// Returns whether no call to start a task's run can begin it any more.
     pub(super) fn is_settled(&self, now: Now, id: TaskId) -> bool {
         let run = self.jobs.get(&id.job).and_then(|j| j.runs.get(&id));
-        run.is_none_or(|r| now.monotonic >= r.settled_at)
+        run.is_none_or(|r| now.monotonic >= self.settles_at(now, r))
+    }
+
+    /// Returns from when on no call to start a run can begin it any more. A
+    /// worker that is silent may be suspended. One that answers has the only
+    /// incarnation on its VM.
+    fn settles_at(&self, now: Now, run: &Run) -> Duration {
+        let worker = self.workers.get(&run.agent);
+        let answers = worker.is_some_and(|w| w.is_reachable(now.monotonic));
+        if run.settled_at.is_zero() || answers {
+            run.settled_at
+        } else {
+            run.settled_at + self.limits.max_suspension
+        }
     }
 
     /// Returns the tasks on an agent whose placement is on an incarnation for
--- a/crates/coordination/src/scheduler/job/run.rs
+++ b/crates/coordination/src/scheduler/job/run.rs
@@ -75,7 +75,8 @@
     pub(in super::super) is_answered: bool,
     /// From when on no call to start the run can begin it any more, nor have
     /// begun it at an incarnation that nobody has heard of and whose lease
-    /// lasts. Zero once its upstream is known to have executed the only call.
+    /// lasts, provided that its VM is not suspended. Zero once its upstream is
+    /// known to have executed the only call.
     pub(in super::super) settled_at: Duration,
     /// When a stop was last sent, if the run is to be stopped; zero if none
     /// was sent yet.
--- a/crates/coordination/tests/fleet/main.rs
+++ b/crates/coordination/tests/fleet/main.rs
@@ -31,11 +31,21 @@
 mod speed_load;
 mod speeds;
 mod starts;
+mod suspensions;
 mod worker_health;
 
 use figrill_state::batch::{BatchId, BatchState};
 use sim::{Sim, gang, job};
 
+/// The time within which a task of a silent worker starts elsewhere, in
+/// milliseconds: a lease of ten seconds by a slow clock, the five seconds for
+/// which a VM may be suspended, the grace period, and a second for the start.
+const SILENT_RESTART_MS: u64 = 17_000;
+
+/// The same if the answer to its start is not known, which the worker may have
+/// begun up to 1.5 s after the order.
+const UNSEEN_RESTART_MS: u64 = SILENT_RESTART_MS + 1500;
+
 const FIRST_JOB: BatchId = BatchId(1);
 const SECOND_JOB: BatchId = BatchId(2);
 
--- a/crates/coordination/tests/fleet/sim/incidents.rs
+++ b/crates/coordination/tests/fleet/sim/incidents.rs
@@ -41,6 +41,14 @@
         node.expect("the agent has a node").reachable = reachable;
     }
 
+    /// Sets whether the VM of an upstream is suspended. Its agent, which is on
+    /// the same VM, can't be reached meanwhile.
+    pub fn set_suspended(&mut self, agent: &str, suspended: bool) {
+        let node = self.pool.nodes.get_mut(agent);
+        node.expect("the agent has a node")
+            .set_suspended(self.now_ms, suspended);
+    }
+
     /// Starts the first run of a job's first task at whatever incarnation an
     /// agent's upstream has, and delivers the result.
     pub fn start_first_task(
--- a/crates/node/src/fleet/agent.rs
+++ b/crates/node/src/fleet/agent.rs
@@ -22,6 +22,7 @@
 use figrill_state::{
     batch::Incarnation,
     event::{Code, Stamp, Timeline},
+    limits::Limits,
     runner::Snapshot,
 };
 use figrill_transport::{
@@ -80,7 +81,6 @@
     draining: Arc<AtomicBool>,
 }
 
-#[derive(Default)]
 struct State {
     /// Which incarnation of the upstream this agent works with.
     registration: Registration,
@@ -94,6 +94,18 @@
     coordinator: Option<ConnId>,
 }
 
+impl State {
+    fn new(limits: &Limits) -> Self {
+        Self {
+            registration: Registration::new(limits),
+            fence: AgentFence::default(),
+            open_calls: OpenCalls::default(),
+            grant: Grant::default(),
+            coordinator: None,
+        }
+    }
+}
+
 impl AgentContext {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -122,7 +134,7 @@
         let cx = Arc::new(AgentContext {
             config: config.clone(),
             journal: journal.clone(),
-            state: Mutex::default(),
+            state: Mutex::new(State::new(&config.deployment.limits)),
             changed: Condvar::new(),
             draining: draining.clone(),
         });
--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -5,6 +5,13 @@
 
 use std::time::Duration;
 
+/// The maximum factor by which an upstream's clock runs slower than true time.
+pub const CLOCK_DRIFT_FACTOR: f64 = 1.02;
+
+/// Added to the expiry of a lease, besides [`Limits::stop_grace`], before its
+/// runs count as over: covers the inaccuracy of this process's clock.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(400);
+
 /// The limits that a deployment sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
@@ -17,6 +24,9 @@
     pub gang_assembly: Duration,
     /// The maximum time by which one grant extends the lease of a run.
     pub max_lease: Duration,
+    /// The maximum time for which a VM is suspended. The clock by which its
+    /// upstream measures leases stands still meanwhile.
+    pub max_suspension: Duration,
     /// The time that a run needs to resume from a checkpoint.
     pub checkpoint_restore: Duration,
     /// The time between the signal that asks a process to stop and the one
@@ -40,6 +50,7 @@
             stop_grace: Duration::from_millis(200),
             gang_assembly: Duration::from_secs(3),
             max_lease: Duration::from_secs(10),
+            max_suspension: Duration::from_secs(5),
             checkpoint_restore: Duration::from_millis(250),
             shutdown_grace: Duration::from_secs(6),
             processor_share: 1.0,
@@ -89,6 +100,12 @@
         range: (2000.0, 600_000.0),
         set: |l, v| l.max_lease = millis(v),
     },
+    Key {
+        name: "max_suspension_ms",
+        help: "how long a VM may be suspended, which extends its leases",
+        range: (0.0, 600_000.0),
+        set: |l, v| l.max_suspension = millis(v),
+    },
     Key {
         name: "checkpoint_restore_ms",
         help: "time that a run needs to resume from a checkpoint",
@@ -163,6 +180,20 @@
         Ok(())
     }
 
+    /// Returns the time after which all runs under a lease of `duration` have
+    /// certainly ended if nothing was heard of the upstream meanwhile.
+    ///
+    /// The upstream measures the lease by a clock that may be slow, and that
+    /// stands still while its VM is suspended. Silence does not tell a
+    /// suspended VM from one that is cut off.
+    #[must_use]
+    pub fn expiry_after_silence(&self, duration: Duration) -> Duration {
+        duration.mul_f64(CLOCK_DRIFT_FACTOR)
+            + self.max_suspension
+            + self.stop_grace
+            + EXPIRY_MARGIN
+    }
+
     /// Checks the limits against each other.
     ///
     /// # Errors
