Stop only backfill for a reservation that waits for nothing else

A run that reports all of its work as done has nothing left to wait for, as backfill has, so a group that waited for its end stopped it. Found in a review of the diff, not seen: the model of upstreams never lists such a run, so there is no test of its own. The runs to stop are checked now to be backfill that yields to the group.

--- a/crates/coordination/src/scheduler/reclaim.rs
+++ b/crates/coordination/src/scheduler/reclaim.rs
@@ -166,7 +166,8 @@
             let backfill: Vec<Victim> = victims
                 .on(agent)
                 .iter()
-                .filter(|v| option.victims.contains(&v.task) && !v.stopping)
+                .filter(|v| option.victims.contains(&v.task))
+                .filter(|v| !v.stopping && v.yields_to(group))
                 .cloned()
                 .collect();
             for victim in backfill {
